--- a/balance/api.go
+++ b/balance/api.go
@@ -37,6 +37,7 @@
 type Class struct {
 	Name       string
 	Aim        time.Duration // an answer within Aim is worth the most
+	Deadline   time.Duration // how long a client waits, over all its tries
 	Effect     Effect
 	Group      Group         // of a keyed class
 	Window     time.Duration // of a keyed class: how long its repeats are remembered
@@ -86,6 +87,8 @@
 	MaxAttempts    int
 	MaxRetryAfter  time.Duration // the longest advice that clients heed; 0 where they heed none
 	Tick           time.Duration // events are handed in no more often than this
+	ConnectTimeout time.Duration // a connection that is not made by then is given up
+	PassThrough    bool          // packets pass through: connections outlive the balancer
 	Safety         Safety
 	Prices         Prices
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"applepitch/balance"
+	"lichenhitch/balance"
 )
 
 const (
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"applepitch/balance"
+	"lichenhitch/balance"
 )
 
 func Example() {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"applepitch/balance"
+	"lichenhitch/balance"
 )
 
 // world plays random but legal events to one balancer and checks the rules as far as one balancer can see them.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"applepitch/internal/wire"
+	"lichenhitch/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/cmd/lichenhitch/main.go
@@ -0,0 +1,116 @@
+// Command lichenhitch is one node: it takes the queries that the front brings and places each on a host.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"lichenhitch/balance"
+	"lichenhitch/internal/clientlink"
+	"lichenhitch/internal/config"
+	"lichenhitch/internal/evloop"
+	"lichenhitch/internal/hostgroup"
+	"lichenhitch/internal/query"
+	"lichenhitch/internal/serverlink"
+)
+
+const (
+	// spareSockets are descriptors kept for discovery, probes, dials under way and the process itself.
+	spareSockets = 96
+	// acceptOn is how long the node goes on accepting after SIGTERM: the front sends new connections for up
+	// to 0.4 s more.
+	acceptOn = 500 * time.Millisecond
+	// drainWithin is when it leaves at the latest: the longest deadline, counted as 3 s, and a little more.
+	drainWithin = 3500 * time.Millisecond
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := run(log); err != nil {
+		log.Error("stopping", "error", err)
+		os.Exit(1)
+	}
+}
+
+func run(log *slog.Logger) error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	log = log.With("node", cfg.Name)
+	// The loop and the dialler wait inside system calls, each on a thread of its own. With one processor for
+	// Go, a thread that wakes up would wait until the other one's is taken away from it, up to 10 ms.
+	runtime.GOMAXPROCS(max(4, runtime.GOMAXPROCS(0)))
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+
+	loop, err := evloop.Start(log)
+	if err != nil {
+		return err
+	}
+	defer loop.Stop()
+	core := query.New(log, clock{loop}, cfg.Settings, cfg.Seed)
+	group := hostgroup.New(log, loop, core, cfg.Discovery)
+	hosts := serverlink.New(log, loop, core, connectTimeout(cfg.Settings), group.Endpoint)
+	door := clientlink.New(log, loop, core, cfg.Settings, cfg.Sockets-spareSockets)
+	loop.Call(func() {
+		core.Connect(hosts, group)
+		if cfg.Known != nil {
+			group.Restore(*cfg.Known)
+		} else {
+			core.List(balance.ListSaved, nil)
+		}
+	})
+	listener, err := loop.Listen(cfg.Listen, door.Accept)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	log.Info("serving", "listen", listener.Addr(), "discovery", cfg.Discovery)
+
+	log.Info("leaving", "signal", (<-signals).String())
+	leave(loop, core, listener, cfg.Settings.PassThrough)
+	return nil
+}
+
+// connectTimeout is the settings', or a second where they tell none.
+func connectTimeout(set balance.Settings) time.Duration {
+	if set.ConnectTimeout > 0 {
+		return set.ConnectTimeout
+	}
+	return time.Second
+}
+
+// leave answers all that was taken. Open connections are left as they are where packets pass through, since
+// another node goes on with them; elsewhere their clients are moved.
+func leave(loop *evloop.Loop, core *query.Core, listener *evloop.Listener, passThrough bool) {
+	begun := time.Now()
+	time.Sleep(acceptOn)
+	listener.Close()
+	for time.Since(begun) < drainWithin {
+		owed := 0
+		loop.Call(func() { owed = core.Owed() })
+		if owed == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if !passThrough {
+		loop.Call(core.MoveAll)
+	}
+}
+
+// clock adapts the loop for the core.
+type clock struct{ loop *evloop.Loop }
+
+func (c clock) Now() time.Duration { return c.loop.Now() }
+func (c clock) After(d time.Duration, f func()) (stop func()) {
+	return c.loop.After(d, f).Stop
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,129 @@
+// Package config reads what the node is told: the environment and the JSON file that it names. Everything is
+// read, checked and given its default here; messages name the faulty key.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"lichenhitch/balance"
+	"lichenhitch/internal/hostgroup"
+	"lichenhitch/internal/settings"
+)
+
+// The defaults of what may be left out.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 64
+)
+
+// Config is what the node is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	MemoryMB  int // the node is killed above this
+	Sockets   int // descriptors that it may hold
+	Known     *hostgroup.List
+	Settings  balance.Settings
+}
+
+// Load reads the configuration; getenv is os.Getenv outside tests. The environment wins over the file.
+func Load(getenv func(string) string) (Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("GW_CONFIG: not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	if !gjson.ValidBytes(raw) {
+		return Config{}, fmt.Errorf("GW_CONFIG: %s: not valid JSON", path)
+	}
+	root := gjson.ParseBytes(raw)
+	c := Config{MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
+	c.Name = first(getenv("GW_NAME"), root.Get("name").String())
+	if c.Listen, err = address(root, "listen", getenv, "GW_LISTEN"); err != nil {
+		return c, err
+	}
+	if c.Discovery, err = address(root, "discovery", getenv, "GW_DISCOVERY"); err != nil {
+		return c, err
+	}
+	if c.Seed, err = seed(root.Get("seed")); err != nil {
+		return c, err
+	}
+	if c.MemoryMB, err = limit(root, "limits.memory_mb", c.MemoryMB, 1); err != nil {
+		return c, err
+	}
+	if c.Sockets, err = limit(root, "limits.sockets", c.Sockets, leastSockets); err != nil {
+		return c, err
+	}
+	if known := root.Get("known"); known.Exists() && known.Type != gjson.Null {
+		list, err := hostgroup.ParseList([]byte(known.Raw))
+		if err != nil {
+			return c, fmt.Errorf("known.%w", err)
+		}
+		c.Known = &list
+	}
+	set := root.Get("settings")
+	if !set.IsObject() {
+		return c, errors.New("settings: missing, or not an object")
+	}
+	if c.Settings, err = settings.Decode([]byte(set.Raw)); err != nil {
+		return c, fmt.Errorf("settings.%w", err)
+	}
+	return c, nil
+}
+
+func first(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func address(root gjson.Result, key string, getenv func(string) string, variable string) (string, error) {
+	value, name := getenv(variable), variable
+	if value == "" {
+		value, name = root.Get(key).String(), key
+	}
+	if value == "" {
+		return "", fmt.Errorf("%s: missing, and %s is not set", key, variable)
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return "", fmt.Errorf("%s: %q is not an address and a port", name, value)
+	}
+	return value, nil
+}
+
+// seed reads a seed in hexadecimal digits.
+func seed(v gjson.Result) (uint64, error) {
+	if !v.Exists() {
+		return 0, errors.New("seed: missing")
+	}
+	n, err := strconv.ParseUint(v.String(), 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("seed: %.40q is not a number in hexadecimal digits", v.String())
+	}
+	return n, nil
+}
+
+func limit(root gjson.Result, key string, otherwise, least int) (int, error) {
+	v := root.Get(key)
+	if !v.Exists() || v.Type == gjson.Null {
+		return otherwise, nil
+	}
+	if v.Type != gjson.Number || v.Num < float64(least) || v.Num > math.MaxInt32 {
+		return 0, fmt.Errorf("%s: %.40s is not a number from %d", key, v.Raw, least)
+	}
+	return int(v.Num), nil
+}
--- /dev/null
+++ b/internal/evloop/loop.go
@@ -0,0 +1,168 @@
+// Package evloop runs the node's one event loop on gnet: its connections, its dials and its timers. Everything
+// that a callback touches belongs to the loop, so nothing here or above needs a lock.
+package evloop
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+)
+
+// Loop is the event loop. Its methods are for callbacks on the loop, but for Do, Call, Listen and Stop, which
+// are for other goroutines.
+type Loop struct {
+	gnet.BuiltinEventEngine
+
+	log    *slog.Logger
+	client *gnet.Client
+	el     gnet.EventLoop
+	base   time.Time // now counts from here, on the monotonic clock
+
+	timers timerHeap
+	alarm  *time.Timer
+	dialer *dialer
+
+	links   int // open connections and dials under way
+	depth   int
+	pending []func() // run when the callback under way is done
+}
+
+// Start starts the loop. It is a gnet client without addresses of its own: with gnet's server, one accept that
+// fails, as for want of descriptors, ends the whole engine (acceptor_unix.go), and a listener cannot be closed
+// before its connections. Here Listen accepts, and enrols what it accepted.
+func Start(log *slog.Logger) (*Loop, error) {
+	l := &Loop{log: log, base: time.Now()}
+	var err error
+	if l.client, err = gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{log}),
+		gnet.WithReadBufferCap(readSize), gnet.WithTCPNoDelay(gnet.TCPNoDelay)); err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	if err := l.client.Start(); err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	if err := l.attach(); err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	if l.dialer, err = newDialer(l); err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	return l, nil
+}
+
+// attach learns the handle of gnet's loop, which only a connection tells: a socket pair serves as one.
+func (l *Loop) attach() error {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return os.NewSyscallError("socketpair", err)
+	}
+	defer unix.Close(pair[1])
+	file := os.NewFile(uintptr(pair[0]), "loop")
+	defer file.Close()
+	conn, err := net.FileConn(file)
+	if err != nil {
+		return err
+	}
+	c, err := l.client.EnrollContext(conn, &Link{loop: l, closed: true})
+	if err != nil {
+		return err
+	}
+	l.el = c.EventLoop()
+	return nil
+}
+
+// Stop ends the loop. Connections are cut.
+func (l *Loop) Stop() {
+	if err := l.client.Stop(); err != nil {
+		l.log.Warn("event loop stopped with an error", "error", err)
+	}
+	l.dialer.stop()
+}
+
+// Do runs f on the loop soon.
+func (l *Loop) Do(f func()) {
+	run := gnet.RunnableFunc(func(context.Context) error {
+		l.enter()
+		defer l.leave()
+		f()
+		return nil
+	})
+	if err := l.el.Execute(context.Background(), run); err != nil {
+		l.log.Debug("event loop is closed", "error", err)
+	}
+}
+
+// Call runs f on the loop and waits for its end. It is for other goroutines only.
+func (l *Loop) Call(f func()) {
+	done := make(chan struct{})
+	l.Do(func() {
+		defer close(done)
+		f()
+	})
+	<-done
+}
+
+// Now returns the time since the start of 1970. It goes on from the system's clock at the start, never steps,
+// and compares with the Unix times that discovery gives.
+func (l *Loop) Now() time.Duration {
+	return time.Duration(l.base.UnixNano()) + time.Since(l.base)
+}
+
+// Links returns how many connections are open or being made.
+func (l *Loop) Links() int { return l.links }
+
+// Defer runs f when the callback under way is done.
+func (l *Loop) Defer(f func()) { l.pending = append(l.pending, f) }
+
+// enter and leave enclose all that runs on the loop. Closed callbacks wait for the end of the callback under
+// way, so that no object is called back from inside its own call.
+func (l *Loop) enter() { l.depth++ }
+
+func (l *Loop) leave() {
+	if l.depth == 1 {
+		for len(l.pending) > 0 {
+			f := l.pending[0]
+			l.pending = l.pending[1:]
+			f()
+		}
+		l.pending = nil
+	}
+	l.depth--
+}
+
+// OnOpen implements gnet.EventHandler.
+func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	l.enter()
+	defer l.leave()
+	return nil, c.Context().(*Link).opened(c)
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (l *Loop) OnTraffic(c gnet.Conn) gnet.Action {
+	l.enter()
+	defer l.leave()
+	c.Context().(*Link).traffic(c)
+	return gnet.None
+}
+
+// OnClose implements gnet.EventHandler.
+func (l *Loop) OnClose(c gnet.Conn, err error) gnet.Action {
+	l.enter()
+	defer l.leave()
+	c.Context().(*Link).ended(err)
+	return gnet.None
+}
+
+// gnetLog hands gnet's log lines on.
+type gnetLog struct{ log *slog.Logger }
+
+func (g gnetLog) Debugf(format string, args ...any) { g.log.Debug(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Infof(format string, args ...any)  { g.log.Debug(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Warnf(format string, args ...any)  { g.log.Warn(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Errorf(format string, args ...any) { g.log.Error(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Fatalf(format string, args ...any) { g.log.Error(fmt.Sprintf(format, args...)) }
--- /dev/null
+++ b/internal/hostgroup/hostgroup.go
@@ -0,0 +1,162 @@
+// Package hostgroup keeps discovery's list of hosts: it watches for changes over HTTP, tells the core of them and
+// knows each host's address.
+package hostgroup
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"lichenhitch/balance"
+	"lichenhitch/internal/evloop"
+	"lichenhitch/internal/query"
+)
+
+const (
+	// hold is how long a watch may wait for news. Short, so that a watch that was lost without a word is noticed.
+	hold = 4 * time.Second
+	// callTimeout is how long an answer may take beyond the hold.
+	callTimeout = 2 * time.Second
+	dialTimeout = time.Second
+)
+
+// Group is the host group.
+type Group struct {
+	log      *slog.Logger
+	loop     *evloop.Loop
+	core     *query.Core
+	address  string // of discovery
+	rev      int64
+	known    bool // there is a list to watch from
+	hosts    map[balance.ServerID]string
+	link     *evloop.Link
+	open     bool
+	watching bool // a call is out
+	reused   bool // the connection has answered before
+	timer    *evloop.Timer
+}
+
+// New returns a host group that asks discovery at an address.
+func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, address string) *Group {
+	return &Group{log: log, loop: loop, core: core, address: address, hosts: make(map[balance.ServerID]string)}
+}
+
+// Endpoint returns a host's address, or "" for one that was never listed.
+func (g *Group) Endpoint(server balance.ServerID) string { return g.hosts[server] }
+
+// Restore takes the list as this node last had it.
+func (g *Group) Restore(l List) { g.take(l, balance.ListSaved) }
+
+// Subscribe implements query.Group: it begins to watch, unless a watch is on.
+func (g *Group) Subscribe() {
+	if !g.watching {
+		g.call()
+	}
+}
+
+// call asks for what has changed.
+func (g *Group) call() {
+	g.watching = true
+	g.timer = g.loop.After(hold+callTimeout, func() { g.fail(fmt.Errorf("no answer in time")) })
+	switch {
+	case g.link == nil:
+		g.open, g.reused = false, false
+		g.link = g.loop.Dial(g.address, dialTimeout, g)
+	case g.open:
+		g.ask()
+	}
+}
+
+func (g *Group) ask() {
+	path := "/v1/servers"
+	if g.known {
+		path = fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", g.rev, hold.Milliseconds())
+	}
+	g.link.Write(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, g.address))
+}
+
+// Opened implements evloop.Handler.
+func (g *Group) Opened() {
+	g.open = true
+	g.ask()
+}
+
+// Received implements evloop.Handler.
+func (g *Group) Received() {
+	a, err := parseAnswer(g.link.Peek())
+	if err != nil {
+		g.fail(err)
+		return
+	}
+	if a.size == 0 {
+		return
+	}
+	if !g.watching {
+		g.drop()
+		return
+	}
+	if a.status != 200 {
+		g.fail(fmt.Errorf("status %d", a.status))
+		return
+	}
+	list, err := ParseList(a.body)
+	if err != nil {
+		g.fail(err)
+		return
+	}
+	g.timer.Stop()
+	g.watching = false
+	g.reused = true
+	g.link.Discard(a.size)
+	if a.close {
+		g.drop()
+	}
+	kind := balance.ListChanges
+	if list.All {
+		kind = balance.ListWhole
+	}
+	g.take(list, kind)
+	g.call() // at once: a watch lasts only as long as the next call follows
+}
+
+// take notes where hosts are and tells the core.
+func (g *Group) take(l List, kind balance.ListKind) {
+	g.rev, g.known = l.Rev, true
+	for i, h := range l.Hosts {
+		if l.address[i] != "" {
+			g.hosts[h.Server] = l.address[i]
+		}
+	}
+	g.core.List(kind, l.Hosts)
+}
+
+// fail ends a watch. The balancer decides when to ask again.
+func (g *Group) fail(err error) {
+	g.timer.Stop()
+	g.drop()
+	g.log.Warn("discovery did not answer", "error", err)
+	if g.watching {
+		g.watching = false
+		g.core.List(balance.ListFailed, nil)
+	}
+}
+
+func (g *Group) drop() {
+	g.link.Close()
+	g.link, g.open = nil, false
+}
+
+// Closed implements evloop.Handler. A connection that discovery closed just as it was asked again gets a new
+// one; the call counts from its beginning all the same.
+func (g *Group) Closed(err error) {
+	ended, reused := g.open, g.reused
+	g.link, g.open = nil, false
+	switch {
+	case !g.watching:
+	case ended && reused:
+		g.reused = false
+		g.link = g.loop.Dial(g.address, dialTimeout, g)
+	default:
+		g.fail(err)
+	}
+}
--- /dev/null
+++ b/internal/hostgroup/list.go
@@ -0,0 +1,65 @@
+package hostgroup
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"lichenhitch/balance"
+)
+
+// List is what discovery tells of the host group: all of it, or what has changed.
+type List struct {
+	Rev     int64
+	All     bool
+	Hosts   []balance.Listing
+	address []string // of each host
+}
+
+var states = map[string]balance.State{
+	"in_service": balance.Ready, "terminating": balance.Draining, "terminated": balance.Gone,
+}
+
+// ParseList reads a list in discovery's form. Unknown keys are passed over; an error names the faulty one.
+func ParseList(raw []byte) (List, error) {
+	if !gjson.ValidBytes(raw) {
+		return List{}, errors.New("not valid JSON")
+	}
+	root := gjson.ParseBytes(raw)
+	rev, all, targets := root.Get("rev"), root.Get("all"), root.Get("targets")
+	switch {
+	case rev.Type != gjson.Number:
+		return List{}, errors.New("rev: not a number")
+	case !all.IsBool():
+		return List{}, errors.New("all: not true or false")
+	case !targets.IsArray() && targets.Type != gjson.Null:
+		return List{}, errors.New("targets: not a list")
+	}
+	out := List{Rev: rev.Int(), All: all.Bool()}
+	for i, t := range targets.Array() {
+		if !t.IsObject() {
+			return List{}, fmt.Errorf("targets.%d: not an object", i)
+		}
+		uid, state, endpoint := t.Get("uid").Str, t.Get("state").Str, t.Get("endpoint").Str
+		known, ok := states[state]
+		boot := t.Get("boot_ms").Num
+		switch {
+		case uid == "":
+			return List{}, fmt.Errorf("targets.%d.uid: missing", i)
+		case !ok:
+			return List{}, fmt.Errorf("targets.%d.state: unknown value %.40q", i, state)
+		case endpoint == "" && known != balance.Gone:
+			return List{}, fmt.Errorf("targets.%d.endpoint: missing", i)
+		case boot < 0 || boot > math.MaxInt64/float64(2*time.Millisecond):
+			return List{}, fmt.Errorf("targets.%d.boot_ms: not a time", i)
+		}
+		out.Hosts = append(out.Hosts, balance.Listing{Server: balance.ServerID(uid), Zone: t.Get("az").Str,
+			Cell: int(t.Get("pod_group").Int()), Weight: t.Get("capacity_hint").Num,
+			Started: time.Duration(boot) * time.Millisecond, State: known})
+		out.address = append(out.address, endpoint)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/serverlink/serverlink.go
@@ -0,0 +1,308 @@
+// Package serverlink speaks the platform's lines with hosts: attempts, each on a connection of its own, and
+// probes, on one lasting connection for each host.
+package serverlink
+
+import (
+	"bytes"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"lichenhitch/balance"
+	"lichenhitch/internal/evloop"
+	"lichenhitch/internal/line"
+	"lichenhitch/internal/query"
+)
+
+// Opener gives the first line that a client sent for its query.
+type Opener interface {
+	OpenLine(to []byte, within time.Duration) []byte
+}
+
+// Hosts holds the server links.
+type Hosts struct {
+	log      *slog.Logger
+	loop     *evloop.Loop
+	core     *query.Core
+	timeout  time.Duration // to connect
+	endpoint func(balance.ServerID) string
+	probes   map[balance.ServerID]*probe
+}
+
+// New returns the server links. endpoint tells where a host is, or "".
+func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, connectTimeout time.Duration,
+	endpoint func(balance.ServerID) string) *Hosts {
+	return &Hosts{log: log, loop: loop, core: core, timeout: connectTimeout, endpoint: endpoint,
+		probes: make(map[balance.ServerID]*probe)}
+}
+
+// Attempt implements query.Servers.
+func (h *Hosts) Attempt(q *query.Query, server balance.ServerID, within time.Duration) query.Attempt {
+	a := &attempt{hosts: h, query: q, until: h.loop.Now() + within}
+	a.link = h.loop.Dial(h.endpoint(server), min(h.timeout, within), a)
+	return a
+}
+
+// attempt is a query's connection to a host.
+type attempt struct {
+	hosts *Hosts
+	query *query.Query
+	link  *evloop.Link
+	until time.Duration
+	sent  bool // the first line is written
+	up    bool
+	last  word // what the host said of the end
+	said  balance.Report
+}
+
+type word int
+
+const (
+	none word = iota
+	bye
+	moved
+	failed
+	full
+)
+
+// Opened implements evloop.Handler.
+func (a *attempt) Opened() {
+	opener := a.query.Client().(Opener)
+	a.sent = true
+	a.link.Write(opener.OpenLine(nil, a.until-a.hosts.loop.Now()))
+}
+
+// Received implements evloop.Handler. Before UP, the lines are for the node; from then on they are the client's.
+func (a *attempt) Received() {
+	for !a.up {
+		text, n, err := line.Next(a.link.Peek())
+		if err != nil {
+			a.fault(err)
+			return
+		}
+		if n == 0 {
+			return
+		}
+		whole := a.link.Peek()[:n]
+		a.link.Discard(n)
+		first, rest := line.Word(text)
+		switch string(first) {
+		case "UP":
+			a.up = true
+			a.query.HostUp(whole)
+		default:
+			if !a.ending(string(first), rest) {
+				a.hosts.log.Warn("a host answered with an unknown line", "line", string(first))
+				a.last = failed
+			}
+			a.finish()
+			return
+		}
+	}
+	a.pass()
+}
+
+// ending notes a line that ends the connection.
+func (a *attempt) ending(first string, rest []byte) bool {
+	switch first {
+	case "BYE":
+		a.last = bye
+	case "MOVE":
+		a.last = moved
+	case "ERR":
+		a.last = failed
+	case "BUSY":
+		a.last = full
+	default:
+		return false
+	}
+	a.said = line.ParseReport(rest)
+	return true
+}
+
+// pass hands complete lines to the client and takes note of what they say.
+func (a *attempt) pass() {
+	data := a.link.Peek()
+	n, err := line.Complete(data)
+	for rest := data[:n]; len(rest) > 0; {
+		text, size, err := line.Next(rest)
+		if size == 0 || err != nil {
+			break
+		}
+		rest = rest[size:]
+		first, more := line.Word(text)
+		if string(first) == "LOAD" {
+			if load, err := strconv.ParseFloat(string(more), 64); err == nil {
+				a.query.HostLoad(load)
+			}
+			continue
+		}
+		a.ending(string(first), more)
+	}
+	if n > 0 {
+		a.link.Discard(n)
+		a.query.HostLines(data[:n])
+	}
+	if err != nil {
+		a.fault(err)
+	}
+}
+
+func (a *attempt) fault(err error) {
+	a.hosts.log.Warn("a host's line cannot be passed on", "error", err)
+	a.last = failed
+	a.finish()
+}
+
+// finish closes the connection after a line that ends it.
+func (a *attempt) finish() {
+	a.link.Close()
+	a.query.HostEnded(a.outcome(), true, a.said)
+}
+
+func (a *attempt) outcome() balance.Outcome {
+	switch a.last {
+	case bye:
+		return balance.OK
+	case moved:
+		return balance.Cancelled
+	case failed:
+		return balance.Errored
+	case full:
+		return balance.Full
+	}
+	if !a.sent {
+		return balance.Unreachable
+	}
+	return balance.Reset
+}
+
+// Closed implements evloop.Handler.
+func (a *attempt) Closed(err error) {
+	a.query.HostEnded(a.outcome(), evloop.Clean(err), a.said)
+}
+
+// Pass implements query.Attempt.
+func (a *attempt) Pass(lines []byte) { a.link.Write(lines) }
+
+// End implements query.Attempt.
+func (a *attempt) End(clean bool) {
+	if clean {
+		a.link.Close()
+	} else {
+		a.link.Abort()
+	}
+}
+
+// probeWithin is how long a host may take to answer a probe.
+const probeWithin = 500 * time.Millisecond
+
+// probe is the lasting connection on which a host is asked for its report.
+type probe struct {
+	hosts    *Hosts
+	server   balance.ServerID
+	endpoint string
+	link     *evloop.Link
+	open     bool
+	asking   bool
+	fresh    bool // nothing was answered yet on this connection
+	askedAt  time.Duration
+	timer    *evloop.Timer
+}
+
+// Probe implements query.Servers.
+func (h *Hosts) Probe(server balance.ServerID) {
+	p := h.probes[server]
+	at := h.endpoint(server)
+	if p != nil && p.endpoint != at { // it started anew elsewhere
+		p.end(balance.Cancelled)
+		p = nil
+	}
+	if p == nil {
+		p = &probe{hosts: h, server: server, endpoint: at, fresh: true}
+		h.probes[server] = p
+	}
+	p.ask()
+}
+
+func (p *probe) ask() {
+	if p.asking {
+		return
+	}
+	p.asking = true
+	p.askedAt = p.hosts.loop.Now()
+	p.timer = p.hosts.loop.After(probeWithin, func() { p.end(balance.TimedOut) })
+	switch {
+	case p.link == nil:
+		p.link = p.hosts.loop.Dial(p.endpoint, min(p.hosts.timeout, probeWithin), p)
+	case p.open:
+		p.link.Write([]byte("STATS\r\n"))
+	}
+}
+
+// Opened implements evloop.Handler.
+func (p *probe) Opened() {
+	p.open = true
+	p.link.Write([]byte("STATS\r\n"))
+}
+
+// Received implements evloop.Handler.
+func (p *probe) Received() {
+	for {
+		text, n, err := line.Next(p.link.Peek())
+		if err != nil {
+			p.end(balance.Errored)
+			return
+		}
+		if n == 0 {
+			return
+		}
+		p.link.Discard(n)
+		first, rest := line.Word(text)
+		switch {
+		case string(first) == "PONG":
+			p.fresh = false
+			p.answer(balance.OK, line.ParseReport(bytes.TrimSpace(rest)))
+		default:
+			p.end(balance.Errored)
+			return
+		}
+	}
+}
+
+func (p *probe) answer(o balance.Outcome, rep balance.Report) {
+	if !p.asking {
+		return
+	}
+	p.asking = false
+	p.timer.Stop()
+	p.hosts.core.Probed(p.server, o, p.hosts.loop.Now()-p.askedAt, rep)
+}
+
+// end drops the connection; the next probe makes a new one.
+func (p *probe) end(o balance.Outcome) {
+	p.drop()
+	p.answer(o, balance.Report{})
+}
+
+func (p *probe) drop() {
+	if p.hosts.probes[p.server] == p {
+		delete(p.hosts.probes, p.server)
+	}
+	p.link.Close()
+}
+
+// Closed implements evloop.Handler. A connection that idled may be closed by the host just as it is asked.
+func (p *probe) Closed(error) {
+	switch {
+	case !p.asking:
+		p.drop()
+	case p.open && !p.fresh:
+		p.link, p.open, p.fresh = nil, false, true
+		p.link = p.hosts.loop.Dial(p.endpoint, min(p.hosts.timeout, probeWithin), p)
+	case p.open:
+		p.end(balance.Reset)
+	default:
+		p.end(balance.Unreachable)
+	}
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -8,7 +8,7 @@
 	"io"
 	"time"
 
-	"applepitch/balance"
+	"lichenhitch/balance"
 )
 
 // Serve hosts balancers: it reads batches from in until its end and writes a reply to each to out. Instances
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,8 @@
 
 	"github.com/segmentio/encoding/json"
 
-	"applepitch/balance"
+	"lichenhitch/balance"
+	"lichenhitch/internal/settings"
 )
 
 // Kind says what a line of input is.
@@ -241,8 +242,10 @@
 		return err
 	}
 	m.Seed = *f.Seed
-	m.Settings, err = decodeSettings(f.Info)
-	return err
+	if m.Settings, err = settings.Decode(f.Info); err != nil {
+		return fmt.Errorf("info: %w", err)
+	}
+	return nil
 }
 
 func decodeTargets(f *fields, m *Message) error {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"applepitch/balance"
+	"lichenhitch/balance"
 )
 
 const us = time.Microsecond
