A host that slows down is found by its probe reports and relieved

Its lines came back in 20 to 50 us all the same, so echoes tell nothing of slowness; hosts sent only UP, M, LOAD and BYE lines. Between 11 and 14 s there was no arrival and therefore no probe. Change: where no note was ever told, a report's latency over the shortest message aim counts as slow messages (onReport, onDelay), and servers that hold connections are probed at least every 2 s, a slow one every second (lookAfter).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,6 +45,8 @@
 	// moveLeast is the part of its connections that a balancer moves off a slow server at a time when no
 	// report tells the excess.
 	moveLeast = 0.2
+	// lookEvery is how often a server that holds connections is looked at without an arrival.
+	lookEvery = 2 * reportLife
 	// throttleFor is over what time failed attempts are weighed against those that stand: a few rounds of
 	// attempts, so that a single burst does not decide.
 	throttleFor = 3 * reportLife
@@ -75,6 +77,9 @@
 	}
 	for _, c := range set.Classes {
 		b.classes[c.Name] = c
+		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
+			b.aim = c.MessageAim
+		}
 	}
 	return b
 }
@@ -114,6 +119,9 @@
 
 func (b *Balancer) start() {
 	b.started = true
+	if b.set.Probes {
+		b.wake(reportLife, 0, wakeLook)
+	}
 	if b.set.ListOnRequest {
 		b.wake(b.jitter(b.set.Safety.AskWithin/32), 0, wakeSubscribe)
 	}
@@ -127,6 +135,8 @@
 		}
 	case wakeSubscribe:
 		b.checkSubscription()
+	case wakeLook:
+		b.lookAfter()
 	}
 }
 
@@ -175,18 +185,6 @@
 
 // ---- Ratio estimate ----
 
-// settle is the time over which a server's load can change wholly: the warm-up time that the settings give.
-func (b *Balancer) settle() time.Duration {
-	if b.set.Safety.ColdFor > 0 {
-		return b.set.Safety.ColdFor
-	}
-	return 10 * reportLife
-}
-
-func (b *Balancer) decay(age time.Duration) float64 {
-	return math.Exp(-float64(max(age, 0)) / float64(b.settle()))
-}
-
 // survey computes the figures of the whole fleet and every estimate, unless that was done a moment ago: what
 // changes in between is kept up to date server by server.
 func (b *Balancer) survey() {
@@ -292,20 +290,9 @@
 		s.capacity += (seen - s.capacity) / 4
 	}
 	b.assess(s)
-}
-
-// reportedRatio reads load over capacity out of a report, from the best value that it holds.
-func (b *Balancer) reportedRatio(s *server, rep Report) (float64, bool) {
-	ratio := -1.0
-	switch {
-	case rep.Known&HasRatio != 0:
-		ratio = rep.Ratio
-	case rep.Known&HasBusy != 0:
-		ratio = rep.Busy
-	case rep.Known&HasHeld != 0:
-		ratio = rep.Held / b.capacityOf(s)
+	if rep.Known&HasLatency != 0 && b.aim > 0 && !b.noted {
+		b.onDelay(s, time.Duration(rep.Latency*float64(time.Millisecond)), b.aim)
 	}
-	return ratio, ratio >= 0 && !math.IsInf(ratio, 0)
 }
 
 // weigh turns an expected load into a multiple of the mean load of arrivals.
@@ -391,6 +378,24 @@
 	b.act(Probe{Server: s.Server})
 }
 
+// lookAfter probes the servers that hold connections of ours and were not asked for some time, unless notes
+// tell how long messages take. It guards against a server that slows down while no arrivals have it probed.
+func (b *Balancer) lookAfter() {
+	b.wake(reportLife, 0, wakeLook)
+	if b.noted || b.aim == 0 {
+		return
+	}
+	for _, s := range b.servers {
+		due := lookEvery
+		if s.slowFrom > 0 {
+			due = reportLife
+		}
+		if s.State == Ready && len(s.conns) > 0 && !s.probing && b.now-s.probedAt >= due {
+			b.probe(s)
+		}
+	}
+}
+
 func (b *Balancer) onProbed(e Probed) {
 	s := b.byID[e.Server]
 	if s == nil {
@@ -760,8 +765,13 @@
 	if r == nil || len(r.attempts) == 0 {
 		return
 	}
-	s := r.attempts[len(r.attempts)-1].server
-	if e.Took < r.class.MessageAim {
+	b.noted = true
+	b.onDelay(r.attempts[len(r.attempts)-1].server, e.Took, r.class.MessageAim)
+}
+
+// onDelay takes how long a message takes at a server.
+func (b *Balancer) onDelay(s *server, took, aim time.Duration) {
+	if took < aim {
 		s.slowFrom = 0
 		b.assess(s)
 		return
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -597,6 +597,41 @@
 	}
 }
 
+// Real hosts send no notes on how long messages take; only the latency in their reports tells. A host that
+// slowed down kept its connections for as long as no arrival had it probed.
+func TestAReportedLatencyMovesConnectionsOffWithoutArrivals(t *testing.T) {
+	set := settings()
+	set.Probes = true
+	d := drive(t, set, 1)
+	d.fleet(0.1, 0.5, 0.5, 0.5)
+	for id := balance.RequestID(1); id <= 3; id++ {
+		d.arrive(id, "safe", 2*sec) // to a
+		d.report("a", 0.1)
+		d.do(balance.Established{Request: id, Attempt: 0})
+	}
+	report := balance.Report{Known: balance.HasRatio | balance.HasLatency, Latency: 700}
+	moves, probes := 0, 0
+	pending := []balance.Action{balance.Wake{After: sec, Token: 3}}
+	for range 8 {
+		pending = d.wait(sec, pending)
+		for _, a := range pending {
+			if p, ok := a.(balance.Probe); ok && p.Server == "a" {
+				probes++
+				report.Ratio = 1 + float64(probes)/100 // refreshed each time
+				for _, a := range d.do(balance.Probed{Server: "a", Report: report}) {
+					if m, ok := a.(balance.Move); ok {
+						moves++
+						d.end(m.Request, 0, balance.Cancelled, true)
+					}
+				}
+			}
+		}
+	}
+	if probes < 2 || moves != 3 {
+		t.Errorf("%d probes and %d moves, want some probes and all three moved", probes, moves)
+	}
+}
+
 func TestCrossingCostsAStep(t *testing.T) {
 	set := settings()
 	set.Prices.CrossZone = 0.03
--- a/balance/state.go
+++ b/balance/state.go
@@ -13,6 +13,7 @@
 const (
 	wakeHold      = 1 // an arrival has waited long enough for probes, or its deadline is near
 	wakeSubscribe = 2 // the subscription is to be checked
+	wakeLook      = 3 // servers with connections are to be looked at
 	wakeBits      = 2
 )
 
@@ -47,6 +48,8 @@
 	probeTokens float64
 	subscribed  bool
 	askFails    int
+	noted       bool          // notes tell how long messages take
+	aim         time.Duration // the shortest in which messages are wanted; 0: not told
 }
 
 type server struct {
@@ -245,6 +248,32 @@
 	b.opened(r)
 }
 
+// reportedRatio reads load over capacity out of a report, from the best value that it holds.
+func (b *Balancer) reportedRatio(s *server, rep Report) (float64, bool) {
+	ratio := -1.0
+	switch {
+	case rep.Known&HasRatio != 0:
+		ratio = rep.Ratio
+	case rep.Known&HasBusy != 0:
+		ratio = rep.Busy
+	case rep.Known&HasHeld != 0:
+		ratio = rep.Held / b.capacityOf(s)
+	}
+	return ratio, ratio >= 0 && !math.IsInf(ratio, 0)
+}
+
+// settle is the time over which a server's load can change wholly: the warm-up time that the settings give.
+func (b *Balancer) settle() time.Duration {
+	if b.set.Safety.ColdFor > 0 {
+		return b.set.Safety.ColdFor
+	}
+	return 10 * reportLife
+}
+
+func (b *Balancer) decay(age time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(b.settle()))
+}
+
 // sweep frees the servers that are no longer listed.
 func (b *Balancer) sweep() {
 	kept := b.servers[:0]
