A slow host's backlog is moved off too; hosts with connections are looked at every second

Checked: a trace of probes. The slow host stood at x0 0.98 to 1.09 with latency_ms 758 to 1129 from 7.8 to 11.7 s; only 9 of its 50 connections were moved, a fifth a second, as the excess over the ceiling was 8 %. At fault: relieve() counted only load over the ceiling, not the second of work that had piled up.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,8 +45,6 @@
 	// moveLeast is the part of its connections that a balancer moves off a slow server at a time when no
 	// report tells the excess.
 	moveLeast = 0.2
-	// lookEvery is how often a server that holds connections is looked at without an arrival.
-	lookEvery = 2 * reportLife
 	// throttleFor is over what time failed attempts are weighed against those that stand: a few rounds of
 	// attempts, so that a single burst does not decide.
 	throttleFor = 3 * reportLife
@@ -381,16 +379,12 @@
 // lookAfter probes the servers that hold connections of ours and were not asked for some time, unless notes
 // tell how long messages take. It guards against a server that slows down while no arrivals have it probed.
 func (b *Balancer) lookAfter() {
-	b.wake(reportLife, 0, wakeLook)
+	b.wake(reportLife/2, 0, wakeLook)
 	if b.noted || b.aim == 0 {
 		return
 	}
 	for _, s := range b.servers {
-		due := lookEvery
-		if s.slowFrom > 0 {
-			due = reportLife
-		}
-		if s.State == Ready && len(s.conns) > 0 && !s.probing && b.now-s.probedAt >= due {
+		if s.State == Ready && len(s.conns) > 0 && !s.probing && b.now-s.probedAt >= reportLife {
 			b.probe(s)
 		}
 	}
@@ -776,6 +770,7 @@
 		b.assess(s)
 		return
 	}
+	s.delay = took
 	if s.slowAt = b.now; s.slowFrom == 0 {
 		s.slowFrom = b.now
 	}
@@ -788,13 +783,14 @@
 
 // relieve moves some of our connections off a server whose messages stay beyond their aim while others have
 // room. It guards against a server that lost capacity, or whose connections grew: it serves nobody until they
-// leave by themselves, which may take minutes. Every balancer moves its part of half the excess and then
-// waits to see the effect.
+// leave by themselves, which may take minutes. What has piled up, as the delay of its messages tells, is to
+// drain within about a second, so that much room is made besides. Every balancer moves its part of the excess
+// and then waits to see the effect.
 func (b *Balancer) relieve(s *server) {
 	b.survey()
-	excess := moveLeast
-	if b.fresh(s) && s.estimate > ceiling {
-		excess = max(excess, (s.estimate-ceiling)/s.estimate)
+	excess, target := moveLeast, max(ceiling-s.delay.Seconds(), ceiling/3)
+	if b.fresh(s) && s.estimate > target {
+		excess = max(excess, (s.estimate-target)/s.estimate)
 	}
 	own := 0.0
 	for _, r := range s.conns {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -632,6 +632,31 @@
 	}
 }
 
+// A host with a second of work piled up served nobody for long, though it was asked for little more than it can
+// do: a fifth of its connections at a time was too few.
+func TestWhatHasPiledUpIsMovedOffToo(t *testing.T) {
+	d := drive(t, settings(), 1)
+	d.fleet(0.1, 0.5, 0.5, 0.5)
+	for id := balance.RequestID(1); id <= 10; id++ {
+		d.arrive(id, "safe", 2*sec) // to a
+		d.report("a", 0.1)
+		d.do(balance.Established{Request: id, Attempt: 0})
+	}
+	d.report("a", 0.95)
+	d.do(balance.MessagesSlow{Request: 1, Took: 900 * ms})
+	d.now += sec
+	d.report("a", 0.96)
+	moves := 0
+	for _, a := range d.do(balance.MessagesSlow{Request: 1, Took: 900 * ms}) {
+		if _, ok := a.(balance.Move); ok {
+			moves++
+		}
+	}
+	if moves < 5 {
+		t.Errorf("%d of 10 connections moved, want more than half", moves)
+	}
+}
+
 func TestCrossingCostsAStep(t *testing.T) {
 	set := settings()
 	set.Prices.CrossZone = 0.03
--- a/balance/state.go
+++ b/balance/state.go
@@ -74,6 +74,7 @@
 	unproven bool          // after a strike: no probe was answered yet
 	slowFrom time.Duration // messages take too long since then; 0: they do not
 	slowAt   time.Duration // when that was last told
+	delay    time.Duration // how long a message took then
 	eased    time.Duration // when connections were last moved off
 	slot     int64         // cold budget: the current window, what it allows, what was sent
 	allowed  int
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -59,10 +59,12 @@
 	inheritedRetry = 250 * time.Millisecond
 	// inheritedWait is how long an inherited connection may take to come up. It is lost after 40 s anyway.
 	inheritedWait = 40 * time.Second
-	// silenceAfter is how long a line of a client may stay unanswered before its host counts as silent. A sound
-	// host sends a line back at once.
-	silenceAfter = 4 * time.Second
-	sweepEvery   = 250 * time.Millisecond
+	// silentAfter is how long a client's line may stay unanswered, with nothing else heard from its host since,
+	// before the host counts as silent. A sound host sends a line back at once; a few lost packets stay below.
+	silentAfter = time.Second
+	// stuckAfter is the same for one connection whose host is heard on others.
+	stuckAfter = 4 * time.Second
+	sweepEvery = 100 * time.Millisecond
 )
 
 // Core holds all queries and the balancer that decides on them. It is for the event loop only.
@@ -76,13 +78,14 @@
 	last     balance.RequestID
 	events   []balance.Event // that the balancer has not taken yet
 	busy     bool
+	heard    map[balance.ServerID]time.Duration // when a line last came from a host with open connections
 	owed     int // queries without a final answer
 }
 
 // New returns a core. Connect must follow.
 func New(log *slog.Logger, clock Clock, set balance.Settings, seed uint64) *Core {
 	return &Core{log: log, clock: clock, balancer: balance.New(set, seed),
-		queries: make(map[balance.RequestID]*Query)}
+		queries: make(map[balance.RequestID]*Query), heard: make(map[balance.ServerID]time.Duration)}
 }
 
 // Connect gives the core its servers and its host group, and starts it.
@@ -308,6 +311,7 @@
 func (q *Query) HostLines(lines []byte) {
 	if q.state == up {
 		q.askedAt = 0
+		q.core.heard[q.server] = q.core.clock.Now()
 		q.client.Pass(lines)
 	}
 }
@@ -390,13 +394,24 @@
 }
 
 // sweep moves the clients whose host has fallen silent. It guards against a host that vanished: its connections
-// stay open, and nothing but the missing lines tells.
+// stay open, and nothing but the missing lines tells. One line that stays unanswered while nothing at all comes
+// from the host speaks for all connections there: the others need not wait for lines of their own.
 func (c *Core) sweep() {
+	c.clock.After(sweepEvery, c.sweep)
 	now := c.clock.Now()
+	silent := make(map[balance.ServerID]bool)
+	for _, q := range c.queries {
+		if q.state == up && q.askedAt > 0 && now-q.askedAt >= silentAfter && c.heard[q.server] < q.askedAt {
+			silent[q.server] = true
+		}
+	}
 	for _, q := range c.queries {
-		if q.state == up && q.askedAt > 0 && now-q.askedAt >= silenceAfter {
+		if q.state == up && (silent[q.server] || q.askedAt > 0 && now-q.askedAt >= stuckAfter) {
 			q.move(balance.Reset)
 		}
 	}
-	c.clock.After(sweepEvery, c.sweep)
+	for server := range silent {
+		c.log.Warn("a host has fallen silent; its clients are moved", "host", server)
+		delete(c.heard, server)
+	}
 }
