--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# What the project's people and its CI run. CI calls the same targets.
+
+POLICY = balance/balance.go
+
+.PHONY: all build test lint run
+
+all: lint build test
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+# The decision module is pure and runs its random days without the race detector; all else runs with it.
+test:
+	go test ./balance/...
+	go test -race ./cmd/... ./internal/...
+
+lint:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt-ed: $$unformatted" >&2; exit 1; fi
+	go vet ./...
+	@lines=$$(grep -cv '^[[:space:]]*$$' $(POLICY)); if [ "$$lines" -gt 850 ]; then \
+	  echo "$(POLICY): $$lines lines that are not blank, 850 at most" >&2; exit 1; fi
+	@if expand -t 4 $(POLICY) | grep -nE '^.{111,}$$'; then \
+	  echo "$(POLICY): lines longer than 110 characters" >&2; exit 1; fi
+
+# One node with the example configuration, on loopback. Without a discovery there it serves its known hosts.
+run: build
+	GW_NAME=n0 GW_CONFIG=deploy/example.json bin/lichenhitch
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -289,6 +289,9 @@
 	}
 	b.assess(s)
 	if rep.Known&HasLatency != 0 && b.aim > 0 && !b.noted {
+		if s.slowFrom == 0 && ratio >= ceiling {
+			s.slowFrom = b.now - reportLife // it is full as well: no pause that passes by itself
+		}
 		b.onDelay(s, time.Duration(rep.Latency*float64(time.Millisecond)), b.aim)
 	}
 }
--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -43,7 +43,6 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	log = log.With("node", cfg.Name)
 	// The loop and the dialler wait inside system calls, each on a thread of its own. With one processor for
 	// Go, a thread that wakes up would wait until the other one's is taken away from it, up to 10 ms.
 	runtime.GOMAXPROCS(max(4, runtime.GOMAXPROCS(0)))
@@ -51,12 +50,29 @@
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	n, err := start(log.With("node", cfg.Name), cfg)
+	if err != nil {
+		return err
+	}
+	log.Info("leaving", "signal", (<-signals).String())
+	n.leave()
+	return nil
+}
 
+// node is the program, wired.
+type node struct {
+	loop        *evloop.Loop
+	core        *query.Core
+	listener    *evloop.Listener
+	passThrough bool
+}
+
+// start wires the parts and serves.
+func start(log *slog.Logger, cfg config.Config) (*node, error) {
 	loop, err := evloop.Start(log)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer loop.Stop()
 	core := query.New(log, clock{loop}, cfg.Settings, cfg.Seed)
 	group := hostgroup.New(log, loop, core, cfg.Discovery)
 	hosts := serverlink.New(log, loop, core, connectTimeout(cfg.Settings), group.Endpoint)
@@ -71,13 +87,11 @@
 	})
 	listener, err := loop.Listen(cfg.Listen, door.Accept)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		loop.Stop()
+		return nil, fmt.Errorf("listen: %w", err)
 	}
 	log.Info("serving", "listen", listener.Addr(), "discovery", cfg.Discovery)
-
-	log.Info("leaving", "signal", (<-signals).String())
-	leave(loop, core, listener, cfg.Settings.PassThrough)
-	return nil
+	return &node{loop: loop, core: core, listener: listener, passThrough: cfg.Settings.PassThrough}, nil
 }
 
 // connectTimeout is the settings', or a second where they tell none.
@@ -88,23 +102,24 @@
 	return time.Second
 }
 
-// leave answers all that was taken. Open connections are left as they are where packets pass through, since
-// another node goes on with them; elsewhere their clients are moved.
-func leave(loop *evloop.Loop, core *query.Core, listener *evloop.Listener, passThrough bool) {
+// leave answers all that was taken and stops. Open connections are left as they are where packets pass through,
+// since another node goes on with them; elsewhere their clients are moved.
+func (n *node) leave() {
 	begun := time.Now()
 	time.Sleep(acceptOn)
-	listener.Close()
+	n.listener.Close()
 	for time.Since(begun) < drainWithin {
 		owed := 0
-		loop.Call(func() { owed = core.Owed() })
+		n.loop.Call(func() { owed = n.core.Owed() })
 		if owed == 0 {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	if !passThrough {
-		loop.Call(core.MoveAll)
+	if !n.passThrough {
+		n.loop.Call(n.core.MoveAll)
 	}
+	n.loop.Stop()
 }
 
 // clock adapts the loop for the core.
--- /dev/null
+++ b/cmd/lichenhitch/node_test.go
@@ -0,0 +1,446 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lichenhitch/internal/config"
+	"lichenhitch/internal/hostgroup"
+	"lichenhitch/internal/settings"
+)
+
+// The stories run the whole node over loopback sockets against scripted peers. They wait for events, with limits
+// far beyond what is expected, and assert on what came, not on when.
+const patience = 20 * time.Second
+
+const testSettings = `{"balancers":1,"my_zone":"z","registry_mode":"ask","round_us":5000,"weight_source":"nominal",
+"permissions":{"probes":true,"max_attempts":4,"retry_after":true,"max_retry_after_us":1500000,
+"connect_timeout_us":250000},"extra":{"mode":"pass","message_aim_us":[250000]},
+"safety":{"ask_within_us":1000000,"cold_us":8000000,"cold_from":0.4,"overload_factor":3,"tip_after_us":1500000},
+"request_classes":[{"name":"chat","aim_us":300000,"deadline_us":3000000,"semantics":"read_like","streamed":true}]}`
+
+// host is a scripted host. It answers probes by itself; script gets every first line and the connection.
+type host struct {
+	net.Listener
+	uid string
+
+	mu    sync.Mutex
+	lines []string // the first lines that came
+}
+
+func newHost(t *testing.T, uid string, script func(line string, c net.Conn, r *bufio.Reader)) *host {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	h := &host{Listener: ln, uid: uid}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go h.serve(c, script)
+		}
+	}()
+	return h
+}
+
+func (h *host) serve(c net.Conn, script func(string, net.Conn, *bufio.Reader)) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if line == "STATS\r\n" {
+			io.WriteString(c, "PONG qps=1.5,latency_ms=5,queue=0,x0=0.25\r\n")
+			continue
+		}
+		h.mu.Lock()
+		h.lines = append(h.lines, strings.TrimRight(line, "\r\n"))
+		h.mu.Unlock()
+		script(line, c, r)
+		return
+	}
+}
+
+func (h *host) firstLines() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.lines...)
+}
+
+// echo is the script of a sound host.
+func echo(_ string, c net.Conn, r *bufio.Reader) {
+	io.WriteString(c, "UP r1\r\n")
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil || line == "end\r\n" {
+			io.WriteString(c, "BYE\r\n")
+			return
+		}
+		io.WriteString(c, line)
+	}
+}
+
+// hang is the script of a host that says nothing until its peer closes.
+func hang(_ string, _ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) }
+
+func target(uid, endpoint, state string) string {
+	return fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":"z","model":"m","pod_group":0,"state":%q,"capacity_hint":1,"boot_ms":0}`,
+		uid, endpoint, state)
+}
+
+func list(rev int, all bool, targets ...string) string {
+	return fmt.Sprintf(`{"rev":%d,"all":%v,"targets":[%s]}`, rev, all, strings.Join(targets, ","))
+}
+
+func targetsOf(hosts ...*host) []string {
+	var out []string
+	for _, h := range hosts {
+		out = append(out, target(h.uid, h.Addr().String(), "in_service"))
+	}
+	return out
+}
+
+// discovery answers each watch with the next of its answers, and holds it when there is none.
+type discovery struct {
+	net.Listener
+	asked   chan string // the path of each call
+	answers chan string
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &discovery{Listener: ln, asked: make(chan string, 100), answers: make(chan string, 100)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(c)
+		}
+	}()
+	return d
+}
+
+func (d *discovery) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if path, ok := strings.CutPrefix(line, "GET "); ok {
+			d.asked <- strings.Fields(path)[0]
+		}
+		if line == "\r\n" {
+			answer := <-d.answers
+			if answer == "" {
+				return // a reset or a crash
+			}
+			io.WriteString(c, answer)
+		}
+	}
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// startNode starts a node that knows some hosts.
+func startNode(t *testing.T, d *discovery, known string) *node {
+	t.Helper()
+	set, err := settings.Decode([]byte(testSettings))
+	require.NoError(t, err)
+	l, err := hostgroup.ParseList([]byte(known))
+	require.NoError(t, err)
+	n, err := start(slog.New(slog.NewTextHandler(io.Discard, nil)), config.Config{Name: "n", Listen: "127.0.0.1:0",
+		Discovery: d.Addr().String(), Seed: 1, Sockets: 1024, MemoryMB: 192, Known: &l, Settings: set})
+	require.NoError(t, err)
+	t.Cleanup(n.loop.Stop)
+	return n
+}
+
+// client is a scripted client.
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, n *node) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", n.listener.Addr())
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	return &client{t, c, bufio.NewReader(c)}
+}
+
+func (c *client) say(line string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, line+"\r\n")
+	require.NoError(c.t, err)
+}
+
+func (c *client) hear() string {
+	c.t.Helper()
+	line, err := c.r.ReadString('\n')
+	require.NoError(c.t, err)
+	return strings.TrimSuffix(line, "\r\n")
+}
+
+// ended asserts that nothing more comes and the connection is over.
+func (c *client) ended() {
+	c.t.Helper()
+	rest, _ := io.ReadAll(c.r)
+	assert.Empty(c.t, string(rest))
+}
+
+const openRest = ",g=5c0f,x9=new"
+
+func open(c *client, extra string) { c.say("OPEN 9b1f 7f3a c=chat,t=acme,d=15000" + openRest + extra) }
+
+func TestAQueryIsServedAndItsLinesPassUnchanged(t *testing.T) {
+	h := newHost(t, "a", echo)
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	c := dial(t, n)
+	c.say("PING")
+	require.Equal(t, "PONG", c.hear())
+	open(c, "")
+	require.Equal(t, "UP r1", c.hear())
+	for _, line := range []string{"M 1 ab", "", "  spaced \t out ", strings.Repeat("x", 4000)} {
+		c.say(line)
+		require.Equal(t, line, c.hear())
+	}
+	c.say("end")
+	require.Equal(t, "BYE", c.hear())
+	c.ended()
+
+	require.Len(t, h.firstLines(), 1)
+	var left int
+	before, after, found := strings.Cut(h.firstLines()[0], "d=")
+	require.True(t, found)
+	assert.Equal(t, "OPEN 9b1f 7f3a c=chat,t=acme,", before)
+	rest := after[strings.Index(after, ","):]
+	_, err := fmt.Sscan(strings.TrimSuffix(after, rest), &left)
+	require.NoError(t, err)
+	assert.Equal(t, openRest, rest)
+	assert.Greater(t, left, 0)
+	assert.Less(t, left, 15000, "d tells what is left")
+}
+
+// A host that refuses, one that never answers and one that is full each cost an attempt; the next host serves,
+// and no two attempts are out at once.
+func TestFailedAttemptsGoOnToTheNextHost(t *testing.T) {
+	var mu sync.Mutex
+	out, most := 0, 0
+	count := func(by int) {
+		mu.Lock()
+		defer mu.Unlock()
+		out += by
+		most = max(most, out)
+	}
+	tracked := func(script func(string, net.Conn, *bufio.Reader)) func(string, net.Conn, *bufio.Reader) {
+		return func(line string, c net.Conn, r *bufio.Reader) {
+			count(1)
+			script(line, c, r)
+			count(-1)
+		}
+	}
+	gone := newHost(t, "gone", echo)
+	gone.Close()
+	silent := newHost(t, "silent", tracked(hang))
+	full := newHost(t, "full", tracked(func(_ string, c net.Conn, _ *bufio.Reader) { io.WriteString(c, "BUSY inflight=7\r\n") }))
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(gone, silent, full)...))
+	c := dial(t, n)
+	open(c, "")
+	assert.Regexp(t, `^BUSY( \d+)?$`, c.hear(), "every host has failed")
+	c.ended()
+	assert.Len(t, silent.firstLines(), 1)
+	assert.Len(t, full.firstLines(), 1)
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, 1, most, "attempts out at once")
+}
+
+// A host that vanishes leaves its connections open and silent; only the missing lines tell.
+func TestClientsOfASilentHostAreMoved(t *testing.T) {
+	stop := make(chan struct{})
+	h := newHost(t, "a", func(_ string, c net.Conn, r *bufio.Reader) {
+		io.WriteString(c, "UP r1\r\n")
+		<-stop
+	})
+	defer close(stop)
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	asking, idle := dial(t, n), dial(t, n)
+	for _, c := range []*client{asking, idle} {
+		open(c, "")
+		require.Equal(t, "UP r1", c.hear())
+	}
+	asking.say("M 1 ab")
+	assert.Equal(t, "MOVE", asking.hear())
+	assert.Equal(t, "MOVE", idle.hear(), "one silent connection speaks for its host")
+	asking.ended()
+	idle.ended()
+}
+
+func TestAHostThatEndsOrDiesEndsItsClient(t *testing.T) {
+	for name, script := range map[string]func(string, net.Conn, *bufio.Reader){
+		"moved": func(_ string, c net.Conn, _ *bufio.Reader) { io.WriteString(c, "UP r1\r\nMOVE\r\n") },
+		"reset": func(_ string, c net.Conn, r *bufio.Reader) {
+			io.WriteString(c, "UP r1\r\n")
+			_, _ = r.ReadString('\n')
+			_ = c.(*net.TCPConn).SetLinger(0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := startNode(t, newDiscovery(t), list(1, true, targetsOf(newHost(t, "a", script))...))
+			c := dial(t, n)
+			open(c, "")
+			require.Equal(t, "UP r1", c.hear())
+			if name == "moved" {
+				assert.Equal(t, "MOVE", c.hear())
+			} else {
+				c.say("M 1")
+			}
+			c.ended()
+		})
+	}
+}
+
+func TestChangesOfTheHostGroupAreFollowed(t *testing.T) {
+	a, b := newHost(t, "a", echo), newHost(t, "b", echo)
+	d := newDiscovery(t)
+	n := startNode(t, d, list(41, true, targetsOf(a)...))
+	assert.Contains(t, <-d.asked, "/v1/servers?from=41&hold_ms=")
+	d.answers <- "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	assert.Contains(t, <-d.asked, "from=41", "asked again after a failure")
+	d.answers <- ok(`{"rev":42,"all":false,"targets":[{"uid":`)
+	assert.Contains(t, <-d.asked, "from=41", "asked again after a broken list")
+	d.answers <- "" // the connection breaks
+	for path := range d.asked {
+		if assert.Contains(t, path, "from=41") {
+			break
+		}
+	}
+	body := list(43, false, target("a", a.Addr().String(), "terminating"), targetsOf(b)[0])
+	d.answers <- fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n",
+		9, body[:9], len(body)-9, body[9:])
+	for path := range d.asked {
+		if strings.Contains(path, "from=43") { // the next watch follows the news
+			break
+		}
+	}
+	for range 5 {
+		c := dial(t, n)
+		open(c, "")
+		require.Equal(t, "UP r1", c.hear())
+	}
+	assert.Empty(t, a.firstLines(), "nothing new goes to a host that drains")
+	assert.Len(t, b.firstLines(), 5)
+}
+
+func TestAnInheritedConnectionGoesToItsHostOnly(t *testing.T) {
+	var tries sync.Map
+	other := newHost(t, "other", echo)
+	holder := newHost(t, "holder", func(line string, c net.Conn, r *bufio.Reader) {
+		if _, again := tries.LoadOrStore("first", true); again {
+			echo(line, c, r)
+		} // the first try breaks
+	})
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(other, holder)...))
+	c := dial(t, n)
+	open(c, ",at=holder")
+	require.Equal(t, "UP r1", c.hear())
+	assert.Empty(t, other.firstLines())
+	assert.Len(t, holder.firstLines(), 2)
+}
+
+func TestBadInputGetsAnAnswerAndReachesNoHost(t *testing.T) {
+	h := newHost(t, "a", echo)
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	for _, in := range []string{
+		"HELLO\r\n", "\r\n", "OPEN\r\n", "OPEN 1 2\r\n", "OPEN 1 2 3 4\r\n", "OPEN 1 2 c\r\n", "OPEN 1 2 t=acme\r\n",
+		"OPEN 1 2 c=nosuch,d=100\r\n", "OPEN 1 2 c=chat,d=-1\r\n", "OPEN 1 2 c=chat,d=1e9\r\n", "OPEN 1 2 c=chat,h=NaN\r\n",
+		"OPEN 1 2 c=chat,d=100\n", strings.Repeat("x", 5000), "\x00\xff\r\n",
+	} {
+		c := dial(t, n)
+		_, err := io.WriteString(c, in)
+		require.NoError(t, err)
+		assert.Contains(t, c.hear(), "ERR ", "%.40q", in)
+		c.ended()
+	}
+	half := dial(t, n)
+	_, err := io.WriteString(half, "OPEN 1 2 c=chat,d=1")
+	require.NoError(t, err)
+	half.Close()
+	c := dial(t, n)
+	open(c, "")
+	assert.Equal(t, "UP r1", c.hear(), "the node goes on")
+	assert.Len(t, h.firstLines(), 1)
+}
+
+// On SIGTERM, what was taken is answered and what comes shortly after is taken too.
+func TestLeavingAnswersAllThatWasTaken(t *testing.T) {
+	release := make(chan struct{})
+	h := newHost(t, "a", func(line string, c net.Conn, r *bufio.Reader) {
+		<-release
+		echo(line, c, r)
+	})
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	early, late := dial(t, n), dial(t, n)
+	open(early, "")
+	left := make(chan struct{})
+	go func() {
+		n.leave()
+		close(left)
+	}()
+	open(late, "")
+	close(release)
+	assert.Equal(t, "UP r1", early.hear())
+	assert.Equal(t, "UP r1", late.hear())
+	early.ended() // packets pass through: cut without MOVE, another node goes on
+	<-left
+}
+
+func TestAFloodFromAHostDoesNotGrowTheNode(t *testing.T) {
+	blocked := make(chan struct{})
+	h := newHost(t, "a", func(_ string, c net.Conn, _ *bufio.Reader) {
+		defer close(blocked)
+		io.WriteString(c, "UP r1\r\n")
+		flood := bytes.Repeat([]byte("M 1 0123456789abcdef\r\n"), 1000)
+		for {
+			if _, err := c.Write(flood); err != nil {
+				return // the node has given the connection up
+			}
+		}
+	})
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	c := dial(t, n)
+	open(c, "") // and never reads
+	select {
+	case <-blocked:
+	case <-time.After(patience):
+		t.Fatal("the node takes all that the host sends though its client reads nothing")
+	}
+}
--- /dev/null
+++ b/internal/evloop/evloop_test.go
@@ -0,0 +1,137 @@
+package evloop
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+func startLoop(t *testing.T) *Loop {
+	t.Helper()
+	l, err := Start(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	return l
+}
+
+// told is a handler that tells what happened to its connection.
+type told struct {
+	name   string
+	events chan string
+	err    error
+}
+
+func (h *told) Opened()   { h.events <- h.name + " opened" }
+func (h *told) Received() {}
+func (h *told) Closed(err error) {
+	h.err = err
+	h.events <- h.name + " closed"
+}
+
+// hanging returns an address where connecting hangs, as at a host that vanished: its queue of new connections is
+// full and nobody accepts.
+func hanging(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 0) }))
+	require.NoError(t, err)
+	for range 3 {
+		fd, err := connect(ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { unix.Close(fd) })
+	}
+	return ln.Addr().String()
+}
+
+// gnet's own dial waits in a worker and without a time-out. Here a dial that hangs neither holds up the loop nor
+// the dials after it, and ends.
+func TestADialThatHangsHoldsNothingUp(t *testing.T) {
+	l := startLoop(t)
+	sound, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer sound.Close()
+	vanished := hanging(t)
+	events := make(chan string, 10)
+	dead, alive := &told{name: "dead", events: events}, &told{name: "alive", events: events}
+	l.Call(func() {
+		l.Dial(vanished, 2*time.Second, dead)
+		l.Dial(sound.Addr().String(), 20*time.Second, alive)
+	})
+	assert.Equal(t, "alive opened", <-events)
+	assert.Equal(t, "dead closed", <-events)
+	assert.ErrorIs(t, dead.err, ErrConnectTimeout)
+	l.Call(func() { assert.Equal(t, 1, l.Links()) })
+}
+
+func TestADialGivenUpOrRefusedIsForgotten(t *testing.T) {
+	l := startLoop(t)
+	events := make(chan string, 10)
+	h := &told{name: "refused", events: events}
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refusing.Close()
+	l.Call(func() {
+		l.Dial(hanging(t), time.Second, &told{name: "given up", events: events}).Close()
+		l.Dial(refusing.Addr().String(), time.Second, h)
+	})
+	assert.Equal(t, "refused closed", <-events)
+	assert.ErrorIs(t, h.err, unix.ECONNREFUSED)
+	l.Call(func() {
+		l.Dial("nowhere", time.Second, h)
+		assert.Empty(t, events, "a handler is never called back from inside its own call")
+	})
+	assert.Equal(t, "refused closed", <-events)
+	l.Call(func() {
+		assert.Equal(t, 0, l.Links())
+		assert.Empty(t, l.dialer.dials)
+		assert.Empty(t, l.timers)
+	})
+	assert.Empty(t, events)
+}
+
+// What is written before a close must reach the peer: MOVE, BUSY and a passed-on line are.
+func TestClosingSendsWhatWasWritten(t *testing.T) {
+	l := startLoop(t)
+	ln, err := l.Listen("127.0.0.1:0", func(k *Link) Handler {
+		k.Write([]byte("MOVE\r\n"))
+		k.Close()
+		return &told{events: make(chan string, 2)}
+	})
+	require.NoError(t, err)
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	got, err := io.ReadAll(c)
+	require.NoError(t, err)
+	assert.Equal(t, "MOVE\r\n", string(got))
+}
+
+func TestTimersFireInOrderAndStop(t *testing.T) {
+	l := startLoop(t)
+	fired := make(chan int, 10)
+	var stopped *Timer
+	l.Call(func() {
+		l.After(30*time.Millisecond, func() { fired <- 3 })
+		l.After(10*time.Millisecond, func() {
+			fired <- 1
+			stopped.Stop()
+			stopped.Stop()
+		})
+		stopped = l.After(15*time.Millisecond, func() { fired <- 0 })
+		l.After(20*time.Millisecond, func() { fired <- 2 })
+	})
+	for want := 1; want <= 3; want++ {
+		assert.Equal(t, want, <-fired)
+	}
+}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -79,7 +79,7 @@
 	events   []balance.Event // that the balancer has not taken yet
 	busy     bool
 	heard    map[balance.ServerID]time.Duration // when a line last came from a host with open connections
-	owed     int // queries without a final answer
+	owed     int                                // queries without a final answer
 }
 
 // New returns a core. Connect must follow.
