--- a/balance/balance.go
+++ b/balance/balance.go
@@ -118,7 +118,7 @@
 func (b *Balancer) start() {
 	b.started = true
 	if b.set.Probes {
-		b.wake(reportLife, 0, wakeLook)
+		b.look()
 	}
 	if b.set.ListOnRequest {
 		b.wake(b.jitter(b.set.Safety.AskWithin/32), 0, wakeSubscribe)
@@ -178,6 +178,10 @@
 	case s.Started != entry.Started:
 		*s = server{probing: s.probing, hash: s.hash}
 	}
+	if entry.State == Draining && s.State != Draining {
+		s.drainFrom = b.now
+		b.look()
+	}
 	s.Listing, s.listed = entry, true
 }
 
@@ -231,19 +235,6 @@
 	}
 }
 
-// capacityOf returns how many connections of mean load fill a server.
-func (b *Balancer) capacityOf(s *server) float64 {
-	switch {
-	case s.capacity > 0:
-		return s.capacity
-	case b.meanCap == 0:
-		return neutralCapacity
-	case b.set.WeightsNominal && b.meanWeight > 0:
-		return b.meanCap * s.Weight / b.meanWeight
-	}
-	return b.meanCap
-}
-
 // assess estimates the ratio of load to capacity that a server has now: its last report, which counts for
 // less the older it is, plus what this balancer placed and lost since the report was taken. A server without
 // a report is not empty: it counts as the mean of its peers.
@@ -380,14 +371,16 @@
 }
 
 // lookAfter probes the servers that hold connections of ours and were not asked for some time, unless notes
-// tell how long messages take. It guards against a server that slows down while no arrivals have it probed.
+// tell how long messages take, and empties those that drain. It guards against a server that slows down while
+// no arrivals have it probed.
 func (b *Balancer) lookAfter() {
 	b.wake(reportLife/2, 0, wakeLook)
-	if b.noted || b.aim == 0 {
-		return
-	}
 	for _, s := range b.servers {
-		if s.State == Ready && len(s.conns) > 0 && !s.probing && b.now-s.probedAt >= reportLife {
+		switch {
+		case s.State == Draining:
+			b.empty(s)
+		case !b.set.Probes || b.noted || b.aim == 0 || len(s.conns) == 0 || s.probing:
+		case b.now-s.probedAt >= reportLife:
 			b.probe(s)
 		}
 	}
@@ -814,6 +807,15 @@
 	}
 }
 
+// empty moves our connections off a draining server, evenly over the time that a server takes to warm up. It
+// guards against being cut off there when the server stops, and against all coming again at once.
+func (b *Balancer) empty(s *server) {
+	rounds := max(1, int((s.drainFrom+b.settle()-b.now)/(reportLife/2)))
+	for _, r := range s.conns[:(len(s.conns)+rounds-1)/rounds] {
+		b.act(Move{Request: r.Request})
+	}
+}
+
 // ---- Cold servers ----
 
 // coldRoom says whether a server that has just started may take one more connection from this balancer. It
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -657,6 +657,36 @@
 	}
 }
 
+// A client is told to move before its server leaves: what is left there when it stops would be cut off.
+func TestADrainingServerIsEmptiedBitByBit(t *testing.T) {
+	d := drive(t, settings(), 1)
+	d.fleet(0.1, 0.5)
+	for id := balance.RequestID(1); id <= 8; id++ {
+		d.arrive(id, "safe", 2*sec) // to a
+		d.report("a", 0.1)
+		d.do(balance.Established{Request: id, Attempt: 0})
+	}
+	draining := listing("a", "here", 0)
+	draining.State = balance.Draining
+	d.do(balance.ServerList{Entries: []balance.Listing{draining}})
+	moved, most := 0, 0
+	pending := []balance.Action{balance.Wake{After: 500 * ms, Token: 3}}
+	for range 16 { // over the 8 s of warming up
+		pending = d.wait(500*ms, pending)
+		now := 0
+		for _, a := range pending {
+			if m, ok := a.(balance.Move); ok {
+				now++
+				d.end(m.Request, 0, balance.Cancelled, true)
+			}
+		}
+		moved, most = moved+now, max(most, now)
+	}
+	if moved != 8 || most > 2 {
+		t.Errorf("%d of 8 connections moved, %d at once at most; want all, bit by bit", moved, most)
+	}
+}
+
 func TestCrossingCostsAStep(t *testing.T) {
 	set := settings()
 	set.Prices.CrossZone = 0.03
--- a/balance/state.go
+++ b/balance/state.go
@@ -48,37 +48,39 @@
 	probeTokens float64
 	subscribed  bool
 	askFails    int
+	looking     bool
 	noted       bool          // notes tell how long messages take
 	aim         time.Duration // the shortest in which messages are wanted; 0: not told
 }
 
 type server struct {
 	Listing
-	listed   bool
-	hash     uint64 // of the name
-	reported bool
-	report   Report
-	ratio    float64
-	takenAt  time.Duration // when the report was taken, as far as known
-	heardAt  time.Duration // when it was last confirmed
-	probing  bool
-	probedAt time.Duration
-	capacity float64 // connections of mean load that fill it; 0: unknown
-	changes  []change
-	own      float64    // sum of changes
-	estimate float64    // of the ratio of load to capacity
-	rank     float64    // estimate plus the cost of crossing to another zone, as a ratio
-	conns    []*request // our own open connections there, in the order of their standing
-	strikes  int
-	asideTo  time.Duration
-	unproven bool          // after a strike: no probe was answered yet
-	slowFrom time.Duration // messages take too long since then; 0: they do not
-	slowAt   time.Duration // when that was last told
-	delay    time.Duration // how long a message took then
-	eased    time.Duration // when connections were last moved off
-	slot     int64         // cold budget: the current window, what it allows, what was sent
-	allowed  int
-	sent     int
+	listed    bool
+	hash      uint64 // of the name
+	reported  bool
+	report    Report
+	ratio     float64
+	takenAt   time.Duration // when the report was taken, as far as known
+	heardAt   time.Duration // when it was last confirmed
+	probing   bool
+	probedAt  time.Duration
+	capacity  float64 // connections of mean load that fill it; 0: unknown
+	changes   []change
+	own       float64    // sum of changes
+	estimate  float64    // of the ratio of load to capacity
+	rank      float64    // estimate plus the cost of crossing to another zone, as a ratio
+	conns     []*request // our own open connections there, in the order of their standing
+	strikes   int
+	asideTo   time.Duration
+	unproven  bool          // after a strike: no probe was answered yet
+	slowFrom  time.Duration // messages take too long since then; 0: they do not
+	slowAt    time.Duration // when that was last told
+	delay     time.Duration // how long a message took then
+	drainFrom time.Duration // when it was told to drain
+	eased     time.Duration // when connections were last moved off
+	slot      int64         // cold budget: the current window, what it allows, what was sent
+	allowed   int
+	sent      int
 }
 
 // rate is a count that fades.
@@ -135,6 +137,14 @@
 	b.act(Wake{After: max(after, 0), Token: uint64(id)<<wakeBits | kind})
 }
 
+// look begins to look after the servers at a steady pace.
+func (b *Balancer) look() {
+	if !b.looking {
+		b.looking = true
+		b.wake(reportLife/2, 0, wakeLook)
+	}
+}
+
 // jitter returns a random time below d.
 func (b *Balancer) jitter(d time.Duration) time.Duration {
 	return time.Duration(b.rng.Float64() * float64(d))
@@ -275,6 +285,19 @@
 	return math.Exp(-float64(max(age, 0)) / float64(b.settle()))
 }
 
+// capacityOf returns how many connections of mean load fill a server.
+func (b *Balancer) capacityOf(s *server) float64 {
+	switch {
+	case s.capacity > 0:
+		return s.capacity
+	case b.meanCap == 0:
+		return neutralCapacity
+	case b.set.WeightsNominal && b.meanWeight > 0:
+		return b.meanCap * s.Weight / b.meanWeight
+	}
+	return b.meanCap
+}
+
 // sweep frees the servers that are no longer listed.
 func (b *Balancer) sweep() {
 	kept := b.servers[:0]
--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -76,7 +76,7 @@
 	core := query.New(log, clock{loop}, cfg.Settings, cfg.Seed)
 	group := hostgroup.New(log, loop, core, cfg.Discovery)
 	hosts := serverlink.New(log, loop, core, connectTimeout(cfg.Settings), group.Endpoint)
-	door := clientlink.New(log, loop, core, cfg.Settings, cfg.Sockets-spareSockets)
+	door := clientlink.New(log, loop, core, cfg.Settings, max(cfg.Sockets-spareSockets, cfg.Sockets/2))
 	loop.Call(func() {
 		core.Connect(hosts, group)
 		if cfg.Known != nil {
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -41,7 +41,7 @@
 	return &Group{log: log, loop: loop, core: core, address: address, hosts: make(map[balance.ServerID]string)}
 }
 
-// Endpoint returns a host's address, or "" for one that was never listed.
+// Endpoint returns a host's address, or "" for one that is not listed.
 func (g *Group) Endpoint(server balance.ServerID) string { return g.hosts[server] }
 
 // Restore takes the list as this node last had it.
@@ -122,8 +122,13 @@
 // take notes where hosts are and tells the core.
 func (g *Group) take(l List, kind balance.ListKind) {
 	g.rev, g.known = l.Rev, true
+	if l.All {
+		clear(g.hosts)
+	}
 	for i, h := range l.Hosts {
-		if l.address[i] != "" {
+		if h.State == balance.Gone {
+			delete(g.hosts, h.Server)
+		} else {
 			g.hosts[h.Server] = l.address[i]
 		}
 	}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -237,7 +237,7 @@
 		return
 	}
 	q.core.log.Warn("a query was overdue", "class", q.arrival.Class, "attempts", q.tries)
-	q.client.Throttle(0)
+	q.client.Fail() // not a throttle: an attempt may have run
 	q.core.feed(balance.Departed{Request: q.arrival.Request})
 	q.withdraw(balance.TimedOut)
 	q.forget()
@@ -399,9 +399,13 @@
 func (c *Core) sweep() {
 	c.clock.After(sweepEvery, c.sweep)
 	now := c.clock.Now()
-	silent := make(map[balance.ServerID]bool)
+	silent, held := make(map[balance.ServerID]bool), make(map[balance.ServerID]bool)
 	for _, q := range c.queries {
-		if q.state == up && q.askedAt > 0 && now-q.askedAt >= silentAfter && c.heard[q.server] < q.askedAt {
+		if q.state != up {
+			continue
+		}
+		held[q.server] = true
+		if q.askedAt > 0 && now-q.askedAt >= silentAfter && c.heard[q.server] < q.askedAt {
 			silent[q.server] = true
 		}
 	}
@@ -412,6 +416,10 @@
 	}
 	for server := range silent {
 		c.log.Warn("a host has fallen silent; its clients are moved", "host", server)
-		delete(c.heard, server)
+	}
+	for server := range c.heard {
+		if !held[server] {
+			delete(c.heard, server)
+		}
 	}
 }
--- /dev/null
+++ b/internal/query/query_test.go
@@ -0,0 +1,149 @@
+package query
+
+import (
+	"io"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lichenhitch/balance"
+)
+
+// world stands in for the clock, the servers, the host group and one client.
+type world struct {
+	now     time.Duration
+	timers  []*timer
+	out     []*Query // attempts that are out
+	most    int
+	answers []string
+}
+
+type timer struct {
+	at time.Duration
+	f  func()
+}
+
+func (w *world) Now() time.Duration { return w.now }
+func (w *world) After(d time.Duration, f func()) (stop func()) {
+	t := &timer{w.now + d, f}
+	w.timers = append(w.timers, t)
+	return func() { t.f = func() {} }
+}
+
+// pass lets time go by, timer by timer.
+func (w *world) pass(d time.Duration) {
+	for until := w.now + d; ; {
+		i := -1
+		for j, t := range w.timers {
+			if t.at <= until && (i < 0 || t.at < w.timers[i].at) {
+				i = j
+			}
+		}
+		if i < 0 {
+			w.now = until
+			return
+		}
+		t := w.timers[i]
+		w.timers = slices.Delete(w.timers, i, i+1)
+		w.now = max(w.now, t.at)
+		t.f()
+	}
+}
+
+type attempt struct {
+	w *world
+	q *Query
+}
+
+func (a attempt) Pass([]byte) {}
+func (a attempt) End(bool) {
+	a.w.out = slices.DeleteFunc(a.w.out, func(q *Query) bool { return q == a.q })
+}
+
+func (w *world) Attempt(q *Query, _ balance.ServerID, _ time.Duration) Attempt {
+	w.out = append(w.out, q)
+	w.most = max(w.most, len(w.out))
+	return attempt{w, q}
+}
+func (w *world) Probe(balance.ServerID) {}
+func (w *world) Subscribe()             {}
+
+func (w *world) Up([]byte)              { w.answers = append(w.answers, "up") }
+func (w *world) Pass([]byte)            {}
+func (w *world) Throttle(time.Duration) { w.answers = append(w.answers, "throttle") }
+func (w *world) Fail()                  { w.answers = append(w.answers, "fail") }
+func (w *world) Move()                  { w.answers = append(w.answers, "move") }
+func (w *world) End(bool)               { w.answers = append(w.answers, "end") }
+
+// With this seed the balancer, which turns away part of what comes while most attempts fail, tries again.
+const seed = 4
+
+func newCore(hosts ...balance.ServerID) (*world, *Core) {
+	w := &world{now: time.Hour}
+	c := New(slog.New(slog.NewTextHandler(io.Discard, nil)), w, balance.Settings{MaxAttempts: 4, Tick: time.Millisecond,
+		Classes: []balance.Class{{Name: "chat", Aim: 300 * time.Millisecond}}}, seed)
+	c.Connect(w, w)
+	var entries []balance.Listing
+	for _, h := range hosts {
+		entries = append(entries, balance.Listing{Server: h, Weight: 1})
+	}
+	c.List(balance.ListSaved, entries)
+	return w, c
+}
+
+func (w *world) arrive(c *Core, at balance.ServerID) *Query {
+	return c.Arrive(w, balance.Arrival{Class: "chat"}, at, 2*time.Second)
+}
+
+func TestAHeldQueryIsAnsweredOnceAndBeforeItsTimeIsUp(t *testing.T) {
+	w, c := newCore() // no hosts at all
+	w.arrive(c, "")
+	w.pass(2*time.Second - time.Millisecond)
+	assert.Equal(t, []string{"throttle"}, w.answers)
+	w.pass(time.Minute)
+	assert.Len(t, w.answers, 1)
+	assert.Zero(t, c.Owed())
+}
+
+func TestSilentHostsCostOneAttemptAfterTheOther(t *testing.T) {
+	w, c := newCore("a", "b", "c", "d", "e")
+	q := w.arrive(c, "")
+	w.pass(2 * time.Second)
+	assert.Equal(t, 1, w.most, "attempts out at once")
+	assert.Empty(t, w.out)
+	assert.Greater(t, q.tries, 1)
+	assert.Equal(t, []string{"throttle"}, w.answers)
+	q.HostUp(nil) // a word that comes too late changes nothing
+	q.HostEnded(balance.Reset, true, balance.Report{})
+	assert.Len(t, w.answers, 1)
+}
+
+func TestAClientThatLeavesTakesItsAttemptAlong(t *testing.T) {
+	w, c := newCore("a", "b")
+	q := w.arrive(c, "")
+	q.ClientGone(true)
+	assert.Empty(t, w.out)
+	w.pass(time.Minute)
+	assert.Equal(t, 1, q.tries, "nothing is sent for a client that left")
+	assert.Empty(t, w.answers)
+	assert.Empty(t, c.queries)
+	assert.Zero(t, c.Owed())
+}
+
+func TestAnInheritedQueryIsTriedAgainAtItsHostUntilItIsLost(t *testing.T) {
+	w, c := newCore("a")
+	q := w.arrive(c, "b")
+	for range 3 {
+		q.attempt.End(true)
+		q.HostEnded(balance.Unreachable, false, balance.Report{})
+		w.pass(inheritedRetry)
+	}
+	assert.Equal(t, balance.ServerID("b"), q.server)
+	assert.Equal(t, 4, q.tries)
+	w.pass(inheritedWait)
+	assert.Equal(t, []string{"fail"}, w.answers)
+	assert.Empty(t, c.queries)
+}
