A backlog is moved off only where the fleet has room

Moving off what had piled up (relieve) was the difference: with three of 12 hosts gone it jammed the next host.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,6 +45,9 @@
 	// moveLeast is the part of its connections that a balancer moves off a slow server at a time when no
 	// report tells the excess.
 	moveLeast = 0.2
+	// spacious is the mean ratio up to which room is made for what has piled up on a server: in a fuller
+	// fleet, what moves only jams the next server.
+	spacious = 0.6
 	// throttleFor is over what time failed attempts are weighed against those that stand: a few rounds of
 	// attempts, so that a single burst does not decide.
 	throttleFor = 3 * reportLife
@@ -360,10 +363,6 @@
 	return lowest
 }
 
-func (b *Balancer) stale(s *server) bool {
-	return s.State == Ready && !s.probing && (!s.reported || b.now-s.heardAt >= reportLife/2)
-}
-
 func (b *Balancer) probe(s *server) {
 	b.probeTokens--
 	s.probing, s.probedAt = true, b.now
@@ -537,8 +536,6 @@
 	}
 }
 
-func (b *Balancer) fresh(s *server) bool { return s.reported && b.now-s.heardAt < 2*reportLife }
-
 // permitted says whether a request may go to a server at all: it is ready, was not tried, and a repeat of
 // what may have run is dropped there.
 func (b *Balancer) permitted(r *request, s *server) bool {
@@ -784,14 +781,17 @@
 // and then waits to see the effect.
 func (b *Balancer) relieve(s *server) {
 	b.survey()
-	excess, target := moveLeast, max(ceiling-s.delay.Seconds(), ceiling/3)
-	if b.fresh(s) && s.estimate > target {
-		excess = max(excess, (s.estimate-target)/s.estimate)
-	}
 	own := 0.0
 	for _, r := range s.conns {
 		own += r.weight
 	}
+	excess := moveLeast
+	if b.fresh(s) && s.estimate > ceiling {
+		excess = max(excess, (s.estimate-ceiling)/s.estimate)
+	}
+	if piledUp := max(ceiling/3, ceiling-s.delay.Seconds()); b.fresh(s) && b.mean < spacious {
+		excess = max(excess, (s.estimate-piledUp)/s.estimate)
+	}
 	want := excess * own
 	if b.room < 2*want*float64(b.set.Balancers) {
 		return
--- a/balance/state.go
+++ b/balance/state.go
@@ -298,6 +298,12 @@
 	return b.meanCap
 }
 
+func (b *Balancer) stale(s *server) bool {
+	return s.State == Ready && !s.probing && (!s.reported || b.now-s.heardAt >= reportLife/2)
+}
+
+func (b *Balancer) fresh(s *server) bool { return s.reported && b.now-s.heardAt < 2*reportLife }
+
 // sweep frees the servers that are no longer listed.
 func (b *Balancer) sweep() {
 	kept := b.servers[:0]
