A line that cannot be passed on moves the client; control characters end a first line

Checked by reading: a line over 4 KiB from either side cut a served client off without MOVE while its host answered (clientlink.pass, serverlink.fault). Both now move it. A first line with a lone CR or NUL was passed to a host, where it might read as two lines (line.ParseOpen); it is rejected. Loop.Call no longer waits for a loop that has ended.

--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -328,6 +328,28 @@
 	}
 }
 
+// A line over 4 KiB, from either side, cannot be passed on; while the host answers, its client is moved.
+func TestALineThatIsTooLongMovesTheClient(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	h := newHost(t, "a", func(_ string, c net.Conn, r *bufio.Reader) {
+		io.WriteString(c, "UP r1\r\n")
+		if line, _ := r.ReadString('\n'); line == "go\r\n" {
+			io.WriteString(c, long)
+		}
+		_, _ = io.Copy(io.Discard, r)
+	})
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	for _, said := range []string{"go\r\n", long} {
+		c := dial(t, n)
+		open(c, "")
+		require.Equal(t, "UP r1", c.hear())
+		_, err := io.WriteString(c, said)
+		require.NoError(t, err)
+		assert.Equal(t, "MOVE", c.hear())
+		c.ended()
+	}
+}
+
 func TestChangesOfTheHostGroupAreFollowed(t *testing.T) {
 	a, b := newHost(t, "a", echo), newHost(t, "b", echo)
 	d := newDiscovery(t)
@@ -383,6 +405,7 @@
 		"HELLO\r\n", "\r\n", "OPEN\r\n", "OPEN 1 2\r\n", "OPEN 1 2 3 4\r\n", "OPEN 1 2 c\r\n", "OPEN 1 2 t=acme\r\n",
 		"OPEN 1 2 c=nosuch,d=100\r\n", "OPEN 1 2 c=chat,d=-1\r\n", "OPEN 1 2 c=chat,d=1e9\r\n", "OPEN 1 2 c=chat,h=NaN\r\n",
 		"OPEN 1 2 c=chat,d=100\n", strings.Repeat("x", 5000), "\x00\xff\r\n",
+		"OPEN 1 2 c=chat,d=100,x=a\rb\r\n", "OPEN 1 2 c=chat,d=100,x=\x00\r\n",
 	} {
 		c := dial(t, n)
 		_, err := io.WriteString(c, in)
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -117,9 +117,12 @@
 		c.link.Discard(n)
 	}
 	if err != nil {
-		c.door.log.Warn("a client link is closed", "error", err)
-		c.over = true
-		c.link.Close()
+		c.door.log.Warn("a client's line cannot be passed on", "error", err)
+		if c.up {
+			c.Move() // its host still answers: it is not merely cut off
+		} else {
+			c.reject(err)
+		}
 		c.query.ClientGone(true)
 	}
 }
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -84,8 +84,8 @@
 	l.dialer.stop()
 }
 
-// Do runs f on the loop soon.
-func (l *Loop) Do(f func()) {
+// Do runs f on the loop soon. It says whether there is still a loop to run it.
+func (l *Loop) Do(f func()) bool {
 	run := gnet.RunnableFunc(func(context.Context) error {
 		l.enter()
 		defer l.leave()
@@ -94,17 +94,20 @@
 	})
 	if err := l.el.Execute(context.Background(), run); err != nil {
 		l.log.Debug("event loop is closed", "error", err)
+		return false
 	}
+	return true
 }
 
 // Call runs f on the loop and waits for its end. It is for other goroutines only.
 func (l *Loop) Call(f func()) {
 	done := make(chan struct{})
-	l.Do(func() {
+	if l.Do(func() {
 		defer close(done)
 		f()
-	})
-	<-done
+	}) {
+		<-done
+	}
 }
 
 // Now returns the time since the start of 1970. It goes on from the system's clock at the start, never steps,
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -76,7 +76,7 @@
 	}
 	id, rest := Word(rest)
 	flow, list := Word(rest)
-	if len(id) == 0 || len(flow) == 0 || len(list) == 0 || bytes.ContainsAny(text, " \r\n\x00") && bytes.Count(text, []byte(" ")) != 3 {
+	if len(id) == 0 || len(flow) == 0 || len(list) == 0 || bytes.ContainsAny(list, " ") || hasControl(text) {
 		return Open{}, fmt.Errorf("%w: an id, a key and a list are wanted", ErrMalformed)
 	}
 	o := Open{ID: string(id), Key: string(flow), text: bytes.Clone(text)}
@@ -102,6 +102,11 @@
 	return o, nil
 }
 
+// hasControl says whether a text holds control characters: a lone CR might pass for the end of a line elsewhere.
+func hasControl(text []byte) bool {
+	return bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f })
+}
+
 func (o *Open) set(name, value string) error {
 	var err error
 	switch name {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -347,6 +347,17 @@
 	}
 }
 
+// HostFaulty says that the host sent what cannot be passed on. The host still answers, so that a client that was
+// served is moved, not cut off.
+func (q *Query) HostFaulty() {
+	if q.state == up {
+		q.move(balance.Errored)
+		return
+	}
+	q.attempt.End(true)
+	q.HostEnded(balance.Errored, true, balance.Report{})
+}
+
 // ClientLines passes lines of the client on.
 func (q *Query) ClientLines(lines []byte) {
 	if q.state != up {
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -14,7 +14,8 @@
 	"lichenhitch/internal/query"
 )
 
-// Opener gives the first line that a client sent for its query.
+// Opener is what a query's client must be besides for a host of this protocol: it gives the first line that it
+// sent. The core knows no lines, so the server link asks the client for it.
 type Opener interface {
 	OpenLine(to []byte, within time.Duration) []byte
 }
@@ -150,8 +151,7 @@
 
 func (a *attempt) fault(err error) {
 	a.hosts.log.Warn("a host's line cannot be passed on", "error", err)
-	a.last = failed
-	a.finish()
+	a.query.HostFaulty()
 }
 
 // finish closes the connection after a line that ends it.
