SIGHUP reads the configuration again and moves discovery instead of ending the node

Ruled out: a fault in the loop or for want of memory (3 of 64 MB).

Now: signals are taken from the first line of main, one channel each for reload and quit, so that neither displaces the other. The file is read beside the loop; its discovery wins over GW_DISCOVERY, which holds the address of the start. The group drops the old call, asks the new address for the whole list at once and tries again every 100 ms for up to 4 s; known hosts stay meanwhile. A faulty file is logged with its key and changes nothing. A link whose handler closes it between its loss and the callback is no longer called back: the callback of the old discovery's connection would have been taken for the new one's.

--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -31,14 +31,19 @@
 )
 
 func main() {
+	// First of all: a signal that nobody waits for ends the program. Each channel keeps one signal until it is
+	// read, and drops more of the same, which would say nothing new.
+	reload, quit := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	signal.Notify(quit, syscall.SIGTERM, syscall.SIGINT)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log); err != nil {
+	if err := run(log, reload, quit); err != nil {
 		log.Error("stopping", "error", err)
 		os.Exit(1)
 	}
 }
 
-func run(log *slog.Logger) error {
+func run(log *slog.Logger, reload, quit <-chan os.Signal) error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -48,23 +53,30 @@
 	runtime.GOMAXPROCS(max(4, runtime.GOMAXPROCS(0)))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	n, err := start(log.With("node", cfg.Name), cfg)
 	if err != nil {
 		return err
 	}
-	log.Info("leaving", "signal", (<-signals).String())
-	n.leave()
-	return nil
+	for {
+		select {
+		case <-reload:
+			n.reload(config.Reload(os.Getenv))
+		case s := <-quit:
+			n.log.Info("leaving", "signal", s.String())
+			n.leave()
+			return nil
+		}
+	}
 }
 
 // node is the program, wired.
 type node struct {
-	loop        *evloop.Loop
-	core        *query.Core
-	listener    *evloop.Listener
-	passThrough bool
+	log      *slog.Logger
+	cfg      config.Config
+	loop     *evloop.Loop
+	core     *query.Core
+	group    *hostgroup.Group
+	listener *evloop.Listener
 }
 
 // start wires the parts and serves.
@@ -91,7 +103,22 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	log.Info("serving", "listen", listener.Addr(), "discovery", cfg.Discovery)
-	return &node{loop: loop, core: core, listener: listener, passThrough: cfg.Settings.PassThrough}, nil
+	return &node{log: log, cfg: cfg, loop: loop, core: core, group: group, listener: listener}, nil
+}
+
+// reload takes over what a new configuration changes, on SIGHUP. The file was read beside the loop. One that is
+// faulty, or only half written yet, changes nothing.
+func (n *node) reload(cfg config.Config, err error) {
+	if err != nil {
+		n.log.Error("the new configuration is faulty; the old one stays", "error", err)
+		return
+	}
+	if fixed := cfg.Fixed(n.cfg); len(fixed) > 0 {
+		n.log.Warn("what has changed besides takes a restart", "keys", fixed)
+	}
+	n.log.Info("configuration read again", "discovery", cfg.Discovery, "before", n.cfg.Discovery)
+	n.cfg.Discovery = cfg.Discovery
+	n.loop.Call(func() { n.group.Relocate(cfg.Discovery) })
 }
 
 // connectTimeout is the settings', or a second where they tell none.
@@ -116,7 +143,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	if !n.passThrough {
+	if !n.cfg.Settings.PassThrough {
 		n.loop.Call(n.core.MoveAll)
 	}
 	n.loop.Stop()
--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -7,8 +7,12 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,6 +28,17 @@
 // far beyond what is expected, and assert on what came, not on when.
 const patience = 20 * time.Second
 
+// asProgram makes the test binary run as the program itself.
+const asProgram = "LICHENHITCH_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
 const testSettings = `{"balancers":1,"my_zone":"z","registry_mode":"ask","round_us":5000,"weight_source":"nominal",
 "permissions":{"probes":true,"max_attempts":4,"retry_after":true,"max_retry_after_us":1500000,
 "connect_timeout_us":250000},"extra":{"mode":"pass","message_aim_us":[250000]},
@@ -180,6 +195,46 @@
 	return n
 }
 
+// program is the node as a process of its own, started by its environment and a configuration file.
+type program struct {
+	*exec.Cmd
+	t            *testing.T
+	path, listen string
+	log          *bufio.Scanner
+}
+
+func startProgram(t *testing.T, discovery, known string) *program {
+	t.Helper()
+	p := &program{t: t, path: filepath.Join(t.TempDir(), "config.json")}
+	p.write(discovery, known)
+	p.Cmd = exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+p.path, "GW_DISCOVERY="+discovery, "GW_LISTEN=127.0.0.1:0")
+	out, err := p.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, p.Start())
+	t.Cleanup(func() { p.Process.Kill() })
+	p.log = bufio.NewScanner(out)
+	_, rest, _ := strings.Cut(p.logged("msg=serving"), "listen=")
+	p.listen, _, _ = strings.Cut(rest, " ")
+	return p
+}
+
+func (p *program) write(discovery, known string) {
+	text := fmt.Sprintf(`{"name":"n","seed":"1","discovery":%q,"known":%s,"settings":%s}`, discovery, known, testSettings)
+	require.NoError(p.t, os.WriteFile(p.path, []byte(text), 0o600))
+}
+
+// logged waits for a line of the log that holds a text.
+func (p *program) logged(text string) string {
+	for p.log.Scan() {
+		if strings.Contains(p.log.Text(), text) {
+			return p.log.Text()
+		}
+	}
+	require.Fail(p.t, "not logged", text)
+	return ""
+}
+
 // client is a scripted client.
 type client struct {
 	t *testing.T
@@ -189,7 +244,12 @@
 
 func dial(t *testing.T, n *node) *client {
 	t.Helper()
-	c, err := net.Dial("tcp", n.listener.Addr())
+	return dialAt(t, n.listener.Addr())
+}
+
+func dialAt(t *testing.T, addr string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
 	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
@@ -382,6 +442,58 @@
 	assert.Len(t, b.firstLines(), 5)
 }
 
+// A new configuration moves discovery, though the environment still names the old one. Connections and hosts stay
+// meanwhile, a faulty file changes nothing, and signals in any number end nothing but with SIGTERM.
+func TestAProgramTakesOverANewConfiguration(t *testing.T) {
+	a, b := newHost(t, "a", echo), newHost(t, "b", echo)
+	before, after := newDiscovery(t), newDiscovery(t)
+	known := list(41, true, targetsOf(a)...)
+	p := startProgram(t, before.Addr().String(), known)
+	hup := func() { require.NoError(t, p.Process.Signal(syscall.SIGHUP)) }
+	assert.Contains(t, <-before.asked, "from=41")
+	standing := dialAt(t, p.listen)
+	open(standing, "")
+	require.Equal(t, "UP r1", standing.hear())
+
+	hup() // the same address
+	p.logged("configuration read again")
+	require.NoError(t, os.WriteFile(p.path, []byte(`{"name":"n","discovery":`), 0o600))
+	hup()
+	assert.Contains(t, p.logged("level=ERROR"), "GW_CONFIG")
+	p.write("nowhere", known)
+	hup()
+	assert.Contains(t, p.logged("level=ERROR"), "discovery: ")
+	assert.Empty(t, before.asked, "the watch at the same address was not disturbed")
+	p.write(after.Addr().String(), known)
+	for range 50 {
+		hup()
+	}
+	assert.Equal(t, "/v1/servers", <-after.asked, "the whole list, at once")
+	after.answers <- "" // the first tries fail
+	assert.Equal(t, "/v1/servers", <-after.asked)
+	after.answers <- "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	assert.Equal(t, "/v1/servers", <-after.asked)
+	meanwhile := dialAt(t, p.listen)
+	open(meanwhile, "")
+	require.Equal(t, "UP r1", meanwhile.hear(), "the hosts known so far stay")
+	after.answers <- ok(list(7, true, targetsOf(b)...))
+	assert.Contains(t, <-after.asked, "from=7")
+	later := dialAt(t, p.listen)
+	open(later, "")
+	require.Equal(t, "UP r1", later.hear())
+	assert.Len(t, a.firstLines(), 2)
+	assert.Len(t, b.firstLines(), 1)
+	for _, c := range []*client{standing, meanwhile} {
+		c.say("M 1")
+		assert.Equal(t, "M 1", c.hear(), "open connections stay")
+	}
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	for range 20 {
+		_ = p.Process.Signal(syscall.SIGHUP)
+	}
+	assert.NoError(t, p.Wait(), "it leaves in good order")
+}
+
 func TestAnInheritedConnectionGoesToItsHostOnly(t *testing.T) {
 	var tries sync.Map
 	other := newHost(t, "other", echo)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,8 @@
 	"math"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"github.com/tidwall/gjson"
@@ -36,8 +38,14 @@
 	Settings  balance.Settings
 }
 
-// Load reads the configuration; getenv is os.Getenv outside tests. The environment wins over the file.
-func Load(getenv func(string) string) (Config, error) {
+// Load reads the configuration at the start; getenv is os.Getenv outside tests. The environment wins over the file.
+func Load(getenv func(string) string) (Config, error) { return read(getenv, false) }
+
+// Reload reads it again. The environment still tells how things were at the start, so that where discovery is, the
+// one thing that a running node takes over, is taken from the file.
+func Reload(getenv func(string) string) (Config, error) { return read(getenv, true) }
+
+func read(getenv func(string) string, again bool) (Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("GW_CONFIG: not set")
@@ -55,7 +63,11 @@
 	if c.Listen, err = address(root, "listen", getenv, "GW_LISTEN"); err != nil {
 		return c, err
 	}
-	if c.Discovery, err = address(root, "discovery", getenv, "GW_DISCOVERY"); err != nil {
+	discovery := getenv
+	if again && root.Get("discovery").Exists() {
+		discovery = func(string) string { return "" }
+	}
+	if c.Discovery, err = address(root, "discovery", discovery, "GW_DISCOVERY"); err != nil {
 		return c, err
 	}
 	if c.Seed, err = seed(root.Get("seed")); err != nil {
@@ -84,6 +96,22 @@
 	return c, nil
 }
 
+// Fixed names the keys in which a configuration differs from an earlier one and that only a start takes over.
+func (c Config) Fixed(before Config) []string {
+	var keys []string
+	for key, same := range map[string]bool{
+		"name": c.Name == before.Name, "listen": c.Listen == before.Listen,
+		"limits.memory_mb": c.MemoryMB == before.MemoryMB, "limits.sockets": c.Sockets == before.Sockets,
+		"settings": reflect.DeepEqual(c.Settings, before.Settings),
+	} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 func first(a, b string) string {
 	if a != "" {
 		return a
--- a/internal/evloop/link.go
+++ b/internal/evloop/link.go
@@ -40,6 +40,7 @@
 	in      []byte              // received; the bytes before from are used up
 	from    int
 	closed  bool
+	muted   bool // closed by its handler, which is not called back any more
 }
 
 func (k *Link) opened(c gnet.Conn) gnet.Action {
@@ -110,7 +111,14 @@
 
 // Close ends the connection. What was written goes out first: gnet's close writes once more what is queued.
 func (k *Link) Close() {
-	if k == nil || k.closed {
+	if k != nil {
+		k.muted = true
+		k.shut()
+	}
+}
+
+func (k *Link) shut() {
+	if k.closed {
 		return
 	}
 	k.closed = true
@@ -137,8 +145,15 @@
 	if k.closed {
 		return
 	}
-	k.Close()
-	k.loop.Defer(func() { k.handler.Closed(err) })
+	k.shut()
+	k.loop.Defer(func() { k.tell(err) })
+}
+
+// tell calls the handler back for the last time, unless it closed the connection itself in the meantime.
+func (k *Link) tell(err error) {
+	if !k.muted {
+		k.handler.Closed(err)
+	}
 }
 
 // ended is told by gnet, also of the closes that we asked for ourselves.
@@ -153,7 +168,7 @@
 	}
 	k.loop.Defer(func() {
 		k.in = nil
-		k.handler.Closed(err)
+		k.tell(err)
 	})
 }
 
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -18,6 +18,13 @@
 	// callTimeout is how long an answer may take beyond the hold.
 	callTimeout = 2 * time.Second
 	dialTimeout = time.Second
+	// relocateWithin is how long the first call at a new address may take, from one try to the next: what
+	// discovery tells there counts as told 4 s after the change.
+	relocateWithin = 4 * time.Second
+	// relocateTry is how long one of these tries may take; a call waits its turn at discovery for up to 2 s.
+	relocateTry = 2 * time.Second
+	// relocatePause is the pause after a try that failed.
+	relocatePause = 100 * time.Millisecond
 )
 
 // Group is the host group.
@@ -34,6 +41,7 @@
 	watching bool // a call is out
 	reused   bool // the connection has answered before
 	timer    *evloop.Timer
+	urgentTo time.Duration // a failed call is tried again until then: discovery has moved
 }
 
 // New returns a host group that asks discovery at an address.
@@ -54,10 +62,27 @@
 	}
 }
 
+// Relocate goes over to another discovery and asks it for the whole list at once: its versions may count
+// differently. The hosts known so far stay until it answers. With the address unchanged nothing is disturbed.
+func (g *Group) Relocate(address string) {
+	if address == g.address {
+		return
+	}
+	g.address, g.known = address, false
+	g.urgentTo = g.loop.Now() + relocateWithin
+	g.timer.Stop()
+	g.drop()
+	g.call()
+}
+
 // call asks for what has changed.
 func (g *Group) call() {
 	g.watching = true
-	g.timer = g.loop.After(hold+callTimeout, func() { g.fail(fmt.Errorf("no answer in time")) })
+	within := hold + callTimeout
+	if left := g.urgentTo - g.loop.Now(); left > 0 {
+		within = min(left, relocateTry)
+	}
+	g.timer = g.loop.After(within, func() { g.fail(fmt.Errorf("no answer in time")) })
 	switch {
 	case g.link == nil:
 		g.open, g.reused = false, false
@@ -107,6 +132,7 @@
 	g.timer.Stop()
 	g.watching = false
 	g.reused = true
+	g.urgentTo = 0
 	g.link.Discard(a.size)
 	if a.close {
 		g.drop()
@@ -135,11 +161,15 @@
 	g.core.List(kind, l.Hosts)
 }
 
-// fail ends a watch. The balancer decides when to ask again.
+// fail ends a watch. The balancer decides when to ask again, but for a discovery that has just moved.
 func (g *Group) fail(err error) {
 	g.timer.Stop()
 	g.drop()
 	g.log.Warn("discovery did not answer", "error", err)
+	if g.watching && g.loop.Now()+relocatePause < g.urgentTo {
+		g.timer = g.loop.After(relocatePause, g.call)
+		return
+	}
 	if g.watching {
 		g.watching = false
 		g.core.List(balance.ListFailed, nil)
