A leaving node carries open connections until it must stop

Now the node stays until its last connection has gone to another node, 3.5 s at most (from the classes' deadlines, 0.2 s under the earliest SIGKILL). The test's story goes on talking after the listener has closed.

--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -26,8 +26,6 @@
 	// acceptOn is how long the node goes on accepting after SIGTERM: the front sends new connections for up
 	// to 0.4 s more.
 	acceptOn = 500 * time.Millisecond
-	// drainWithin is when it leaves at the latest: the longest deadline, counted as 3 s, and a little more.
-	drainWithin = 3500 * time.Millisecond
 )
 
 func main() {
@@ -129,19 +127,23 @@
 	return time.Second
 }
 
-// leave answers all that was taken and stops. Open connections are left as they are where packets pass through,
-// since another node goes on with them; elsewhere their clients are moved.
+// leave answers all that was taken and stops. Where packets pass through, open connections are carried until the
+// front has taken them to another node, or for as long as the node may stay: with no other node there, they
+// would stand still until this one is back. Elsewhere their clients are moved.
 func (n *node) leave() {
 	begun := time.Now()
 	time.Sleep(acceptOn)
 	n.listener.Close()
-	for time.Since(begun) < drainWithin {
-		owed := 0
-		n.loop.Call(func() { owed = n.core.Owed() })
-		if owed == 0 {
+	for within := leaveWithin(n.cfg.Settings); time.Since(begun) < within; time.Sleep(20 * time.Millisecond) {
+		left := 0
+		n.loop.Call(func() {
+			if left = n.core.Owed(); n.cfg.Settings.PassThrough {
+				left += n.core.Standing()
+			}
+		})
+		if left == 0 {
 			break
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
 	if !n.cfg.Settings.PassThrough {
 		n.loop.Call(n.core.MoveAll)
@@ -149,6 +151,16 @@
 	n.loop.Stop()
 }
 
+// leaveWithin is how long after SIGTERM the node may stay: the longest deadline, counted as 3 s where it is longer,
+// and half a second. It is killed 0.2 s later at the earliest.
+func leaveWithin(set balance.Settings) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range set.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, 3*time.Second) + 500*time.Millisecond
+}
+
 // clock adapts the loop for the core.
 type clock struct{ loop *evloop.Loop }
 
--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -535,7 +535,8 @@
 	assert.Len(t, h.firstLines(), 1)
 }
 
-// On SIGTERM, what was taken is answered and what comes shortly after is taken too.
+// On SIGTERM, what was taken is answered and what comes shortly after is taken too. What stands goes on after the
+// node has stopped accepting; with the last of it gone the node stops.
 func TestLeavingAnswersAllThatWasTaken(t *testing.T) {
 	release := make(chan struct{})
 	h := newHost(t, "a", func(line string, c net.Conn, r *bufio.Reader) {
@@ -554,7 +555,21 @@
 	close(release)
 	assert.Equal(t, "UP r1", early.hear())
 	assert.Equal(t, "UP r1", late.hear())
-	early.ended() // packets pass through: cut without MOVE, another node goes on
+	for { // until it has stopped accepting
+		c, err := net.Dial("tcp", n.listener.Addr())
+		if err != nil {
+			require.ErrorIs(t, err, syscall.ECONNREFUSED)
+			break
+		}
+		require.NoError(t, c.(*net.TCPConn).SetLinger(0))
+		c.Close()
+	}
+	for range 100 {
+		early.say("M 1 ab")
+		require.Equal(t, "M 1 ab", early.hear())
+	}
+	early.Close()
+	late.Close()
 	<-left
 }
 
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -97,6 +97,17 @@
 // Owed returns how many queries wait for their final answer.
 func (c *Core) Owed() int { return c.owed }
 
+// Standing returns how many connections stand.
+func (c *Core) Standing() int {
+	n := 0
+	for _, q := range c.queries {
+		if q.state == up {
+			n++
+		}
+	}
+	return n
+}
+
 // List brings news of the host group.
 func (c *Core) List(kind balance.ListKind, entries []balance.Listing) {
 	c.feed(balance.ServerList{Kind: kind, Entries: entries})
