Silent and finished client links make way, and a client says one line before its answer

Checked with a probe that logged every first line: 339 of some 430 arrivals were throttled 'the node holds as many connections as it may', while about 1,570 connections closed having said nothing and 899 asked PING and stayed; of the bad lines only repeated ids came to hosts (89). Ruled out: memory (6 of 64 MB), CPU (0.04 s in the worst second), missed errors (0 of 831 owed).

At fault: Door.first counted all links against the limit, nothing bounded the wait for a first line, early lines were kept for the host, and a close with unread input reset the answer away.

Now: 2 s for a first line; links without a query, and finished ones, are spare, and the oldest of them go when links reach what descriptors allow (all but 24); queries are throttled by the links that are not. Finish ends sending, drops what comes, for 3 s and 64 MiB at most. More than one line, an id in use and an unknown tenant are refused. A dial that fails for want of descriptors is Unsent and no longer a strike against its host. What waits for peers is bounded to a quarter of the memory in all. The log tells counts.

--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lichenhitch/balance"
 	"lichenhitch/internal/clientlink"
 	"lichenhitch/internal/config"
@@ -21,8 +23,13 @@
 )
 
 const (
-	// spareSockets are descriptors kept for discovery, probes, dials under way and the process itself.
-	spareSockets = 96
+	// ownSockets are descriptors that the process itself needs: its log, its pollers, its listener, and one or two
+	// more for each connection while it is handed to the loop.
+	ownSockets = 24
+	// probeSockets are kept free of queries, for discovery and for probes that are not connected yet.
+	probeSockets = 16
+	// queuedPart is the part of the memory that may hold what waits for peers to read, all connections together.
+	queuedPart = 4
 	// acceptOn is how long the node goes on accepting after SIGTERM: the front sends new connections for up
 	// to 0.4 s more.
 	acceptOn = 500 * time.Millisecond
@@ -79,14 +86,16 @@
 
 // start wires the parts and serves.
 func start(log *slog.Logger, cfg config.Config) (*node, error) {
-	loop, err := evloop.Start(log)
+	sockets := socketLimit(cfg.Sockets)
+	links := sockets - ownSockets
+	loop, err := evloop.Start(log, evloop.Limits{Links: links, Queued: cfg.MemoryMB << 20 / queuedPart / sockets})
 	if err != nil {
 		return nil, err
 	}
 	core := query.New(log, clock{loop}, cfg.Settings, cfg.Seed)
 	group := hostgroup.New(log, loop, core, cfg.Discovery)
 	hosts := serverlink.New(log, loop, core, connectTimeout(cfg.Settings), group.Endpoint)
-	door := clientlink.New(log, loop, core, cfg.Settings, max(cfg.Sockets-spareSockets, cfg.Sockets/2))
+	door := clientlink.New(log, loop, core, cfg.Settings, links-probeSockets)
 	loop.Call(func() {
 		core.Connect(hosts, group)
 		if cfg.Known != nil {
@@ -119,6 +128,15 @@
 	n.loop.Call(func() { n.group.Relocate(cfg.Discovery) })
 }
 
+// socketLimit is how many descriptors the node may hold: what it is told, or less where the system allows less.
+func socketLimit(told int) int {
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err == nil && own.Cur < uint64(told) {
+		return int(own.Cur)
+	}
+	return told
+}
+
 // connectTimeout is the settings', or a second where they tell none.
 func connectTimeout(set balance.Settings) time.Duration {
 	if set.ConnectTimeout > 0 {
--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -278,7 +279,13 @@
 
 const openRest = ",g=5c0f,x9=new"
 
-func open(c *client, extra string) { c.say("OPEN 9b1f 7f3a c=chat,t=acme,d=15000" + openRest + extra) }
+var lastID atomic.Int64
+
+func open(c *client, extra string) { openAs(c, fmt.Sprintf("%x", lastID.Add(1)), extra) }
+
+func openAs(c *client, id, extra string) {
+	c.say("OPEN " + id + " 7f3a c=chat,t=acme,d=15000" + openRest + extra)
+}
 
 func TestAQueryIsServedAndItsLinesPassUnchanged(t *testing.T) {
 	h := newHost(t, "a", echo)
@@ -300,7 +307,7 @@
 	var left int
 	before, after, found := strings.Cut(h.firstLines()[0], "d=")
 	require.True(t, found)
-	assert.Equal(t, "OPEN 9b1f 7f3a c=chat,t=acme,", before)
+	assert.Regexp(t, "^OPEN [0-9a-f]+ 7f3a c=chat,t=acme,$", before)
 	rest := after[strings.Index(after, ","):]
 	_, err := fmt.Sscan(strings.TrimSuffix(after, rest), &left)
 	require.NoError(t, err)
@@ -510,6 +517,59 @@
 	assert.Len(t, holder.firstLines(), 2)
 }
 
+// Silence, half a line and a trickle each end in an error, and so does what comes while the answer is awaited; its
+// query is taken back. An id that is in use is refused, and its owner goes on.
+func TestClientsThatDoNotKeepToTheOrderAreTurnedAway(t *testing.T) {
+	taken := make(chan struct{})
+	left := make(chan struct{})
+	h := newHost(t, "a", func(line string, c net.Conn, r *bufio.Reader) {
+		if strings.Contains(line, "x=slow") {
+			close(taken)
+			hang(line, c, r)
+			close(left)
+			return
+		}
+		echo(line, c, r)
+	})
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	owner := dial(t, n)
+	openAs(owner, "9b1f", "")
+	require.Equal(t, "UP r1", owner.hear())
+	again := dial(t, n)
+	openAs(again, "9b1f", "")
+	assert.Equal(t, "ERR the id is in use", again.hear())
+	again.ended()
+	owner.say("M 1 ab")
+	assert.Equal(t, "M 1 ab", owner.hear())
+
+	eager := dial(t, n)
+	eager.say("OPEN e 7f3a c=chat,d=15000,x=slow")
+	<-taken
+	eager.say("M 1 ab")
+	assert.Contains(t, eager.hear(), "ERR a client sends one line")
+	eager.ended()
+	<-left
+
+	silent, half, trickle := dial(t, n), dial(t, n), dial(t, n)
+	_, err := io.WriteString(half, "OPEN 9b1f 7f3a c=ch")
+	require.NoError(t, err)
+	go func() {
+		for err := error(nil); err == nil; time.Sleep(10 * time.Millisecond) {
+			_, err = io.WriteString(trickle, "O")
+		}
+	}()
+	for _, c := range []*client{silent, half, trickle} {
+		assert.Equal(t, "ERR no query has come", c.hear())
+		c.ended()
+	}
+	owner.say("end")
+	assert.Equal(t, "BYE", owner.hear())
+	owner.ended()
+	later := dial(t, n)
+	openAs(later, "9b1f", "")
+	assert.Equal(t, "UP r1", later.hear(), "the id is free")
+}
+
 func TestBadInputGetsAnAnswerAndReachesNoHost(t *testing.T) {
 	h := newHost(t, "a", echo)
 	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
@@ -518,6 +578,8 @@
 		"OPEN 1 2 c=nosuch,d=100\r\n", "OPEN 1 2 c=chat,d=-1\r\n", "OPEN 1 2 c=chat,d=1e9\r\n", "OPEN 1 2 c=chat,h=NaN\r\n",
 		"OPEN 1 2 c=chat,d=100\n", strings.Repeat("x", 5000), "\x00\xff\r\n",
 		"OPEN 1 2 c=chat,d=100,x=a\rb\r\n", "OPEN 1 2 c=chat,d=100,x=\x00\r\n",
+		"OPEN 1 2 c=chat,d=100\r\nM 1 ab\r\n", strings.Repeat("OPEN 1 2 c=chat,d=100\r\n", 300),
+		strings.Repeat("PING\r\n", 300), "OPEN 1 2 c=chat,d=100\r\nOPEN", strings.Repeat("x", 8<<20),
 	} {
 		c := dial(t, n)
 		_, err := io.WriteString(c, in)
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -3,6 +3,7 @@
 package clientlink
 
 import (
+	"errors"
 	"log/slog"
 	"time"
 
@@ -12,31 +13,104 @@
 	"lichenhitch/internal/query"
 )
 
+const (
+	// firstWithin is how long a connection may stand without a query. A client asks as soon as it is connected;
+	// an error or a close is owed to the others within 3 s. What trickles in, and PING, does not renew it.
+	firstWithin = 2 * time.Second
+	// fullRetry is when a client may come again that found too many connections here.
+	fullRetry = time.Second
+	// tellEvery is how often the log tells of connections that were turned away.
+	tellEvery = 10 * time.Second
+)
+
+// The faults of a client, besides those of its line.
+var (
+	errLate    = errors.New("no query has come")
+	errEager   = errors.New("a client sends one line and waits for the answer")
+	errClass   = errors.New("the class is unknown")
+	errTenant  = errors.New("the tenant is unknown")
+	errIDInUse = errors.New("the id is in use")
+	errFull    = errors.New("the node holds as many connections as it may")
+)
+
 // Door makes client links of accepted connections.
 type Door struct {
 	log      *slog.Logger
 	loop     *evloop.Loop
 	core     *query.Core
 	classes  map[string]balance.Class
+	tenants  map[string]bool // nil where none are told
+	retry    time.Duration   // the advice of a throttle for want of connections
 	maxLinks int
+	ids      map[string]bool // of the queries that are open
+	turned   map[error]int   // connections turned away since the log last told of them, by the reason
+	telling  bool
 }
 
 // New returns a door. Above maxLinks connections, queries are throttled.
 func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, set balance.Settings, maxLinks int) *Door {
-	d := &Door{log: log, loop: loop, core: core, classes: map[string]balance.Class{}, maxLinks: maxLinks}
+	d := &Door{log: log, loop: loop, core: core, classes: map[string]balance.Class{}, maxLinks: maxLinks,
+		retry: min(fullRetry, set.MaxRetryAfter), ids: map[string]bool{}, turned: map[error]int{}}
 	for _, c := range set.Classes {
 		d.classes[c.Name] = c
 	}
+	if len(set.Tenants) > 0 {
+		d.tenants = map[string]bool{}
+	}
+	for _, t := range set.Tenants {
+		d.tenants[t.Name] = true
+	}
 	return d
 }
 
-// Accept gives a connection its handler.
-func (d *Door) Accept(link *evloop.Link) evloop.Handler { return &Client{door: d, link: link} }
+// Accept gives a connection its handler. Until it has a query, it is the first to go when there are too many.
+func (d *Door) Accept(link *evloop.Link) evloop.Handler {
+	c := &Client{door: d, link: link}
+	c.late = d.loop.After(firstWithin, func() { c.reject(errLate) })
+	link.Spare(true)
+	return c
+}
+
+// note counts a connection that is turned away. One that comes back at once, again and again, must stay cheap: the
+// log tells sums.
+func (d *Door) note(reason error) {
+	for _, known := range []error{line.ErrTooLong, line.ErrMalformed} {
+		if errors.Is(reason, known) {
+			reason = known
+		}
+	}
+	d.turned[reason]++
+	if d.telling {
+		return
+	}
+	d.telling = true
+	d.loop.After(tellEvery, func() {
+		for reason, n := range d.turned {
+			d.log.Warn("connections were turned away", "reason", reason, "count", n)
+		}
+		clear(d.turned)
+		d.telling = false
+	})
+}
+
+// check says why a query cannot be taken, if so.
+func (d *Door) check(o line.Open) error {
+	switch _, known := d.classes[o.Class]; {
+	case !known:
+		return errClass
+	case d.tenants != nil && o.Tenant != "" && !d.tenants[o.Tenant]:
+		return errTenant
+	case d.ids[o.ID]:
+		return errIDInUse // its owner is not disturbed
+	}
+	return nil
+}
 
 // Client is a client link.
 type Client struct {
 	door  *Door
 	link  *evloop.Link
+	late  *evloop.Timer // of the first line
 	open  line.Open
 	query *query.Query // once a first line has come
 	up    bool
@@ -48,108 +122,108 @@
 
 // Received implements evloop.Handler.
 func (c *Client) Received() {
-	for !c.over && c.query == nil {
-		text, n, err := line.Next(c.link.Peek())
+	switch {
+	case c.over:
+	case c.up:
+		c.pass()
+	case c.query != nil:
+		c.reject(errEager)
+		c.query.ClientGone(true)
+	default:
+		c.first()
+	}
+}
+
+// first takes a line on a connection that has no query yet. What comes with it, before its answer, no host could
+// make sense of.
+func (c *Client) first() {
+	data := c.link.Peek()
+	text, n, err := line.Next(data)
+	switch {
+	case err != nil:
+		c.reject(err)
+	case n == 0:
+	case n < len(data):
+		c.reject(errEager)
+	case string(text) == "PING":
+		c.link.Discard(n)
+		c.link.Write([]byte("PONG\r\n"))
+	default:
+		open, err := line.ParseOpen(text)
+		if err == nil {
+			err = c.door.check(open)
+		}
 		if err != nil {
 			c.reject(err)
 			return
 		}
-		if n == 0 {
-			return
-		}
-		c.first(text)
-		if !c.over {
-			c.link.Discard(n)
-		}
-	}
-	if c.over {
-		return
+		c.link.Discard(n)
+		c.arrive(open)
 	}
-	c.pass()
 }
 
-// first takes a line on a connection that has no query yet.
-func (c *Client) first(text []byte) {
-	if string(text) == "PING" {
-		c.link.Write([]byte("PONG\r\n"))
-		return
-	}
-	open, err := line.ParseOpen(text)
-	if err != nil {
-		c.reject(err)
-		return
-	}
-	class, ok := c.door.classes[open.Class]
-	if !ok {
-		c.door.log.Warn("a query of an unknown class", "class", open.Class, "id", open.ID)
-		c.finish([]byte("ERR unknown class\r\n"))
-		return
-	}
-	if c.door.loop.Links() >= c.door.maxLinks {
-		c.door.log.Warn("a query is throttled: the node holds as many connections as it may")
-		c.Throttle(time.Second)
+// arrive brings the query to the core.
+func (c *Client) arrive(open line.Open) {
+	if c.door.loop.Held() >= c.door.maxLinks {
+		c.door.note(errFull)
+		c.Throttle(c.door.retry)
 		return
 	}
 	if open.Wait == 0 {
-		open.Wait = class.Deadline
+		open.Wait = c.door.classes[open.Class].Deadline
 	}
+	c.late.Stop()
+	c.link.Spare(false)
 	c.open = open
+	c.door.ids[open.ID] = true
 	c.query = c.door.core.Arrive(c, balance.Arrival{Class: open.Class, Tenant: open.Tenant, Key: open.Key,
 		Group: open.Group, Load: open.Load, MidFlow: open.MidFlow, Returning: open.Again, Repeat: open.Retry},
 		open.At, open.Wait)
 }
 
-// earlyMax is how much a client may send before its connection stands. It should wait.
-const earlyMax = 16 << 10
-
-// pass hands complete lines to the host. What comes before there is one stays in the buffer.
+// pass hands complete lines to the host.
 func (c *Client) pass() {
 	data := c.link.Peek()
-	if !c.up && len(data) <= earlyMax {
-		return
-	}
 	n, err := line.Complete(data)
-	if !c.up {
-		n, err = 0, line.ErrTooLong
-	}
 	if n > 0 {
 		c.query.ClientLines(data[:n])
 		c.link.Discard(n)
 	}
-	if err != nil {
-		c.door.log.Warn("a client's line cannot be passed on", "error", err)
-		if c.up {
-			c.Move() // its host still answers: it is not merely cut off
-		} else {
-			c.reject(err)
-		}
+	if err != nil && !c.over {
+		c.door.note(err)
+		c.Move() // its host still answers: it is not merely cut off
 		c.query.ClientGone(true)
 	}
 }
 
-// flush passes on what came early.
-func (c *Client) flush() {
-	if !c.over {
-		c.pass()
-	}
-}
-
-// reject answers a first line that cannot be served.
+// reject answers a client that cannot be served.
 func (c *Client) reject(err error) {
-	c.door.log.Warn("a first line is rejected", "error", err)
+	c.door.note(err)
 	c.finish([]byte("ERR " + err.Error() + "\r\n"))
 }
 
 // finish says a last line, unless there is none, and closes.
 func (c *Client) finish(last []byte) {
-	c.over = true
+	c.leave()
 	c.link.Write(last)
-	c.link.Close()
+	c.link.Finish()
+}
+
+// leave notes that the client is gone, or as good as gone.
+func (c *Client) leave() {
+	if c.over {
+		return
+	}
+	c.over = true
+	c.late.Stop()
+	if c.open.ID != "" {
+		delete(c.door.ids, c.open.ID)
+	}
 }
 
 // Closed implements evloop.Handler.
 func (c *Client) Closed(err error) {
-	c.over = true
+	c.leave()
 	if c.query != nil {
 		c.query.ClientGone(evloop.Clean(err))
 	}
@@ -162,7 +236,6 @@
 func (c *Client) Up(answer []byte) {
 	c.up = true
 	c.link.Write(answer)
-	c.door.loop.Defer(c.flush)
 }
 
 // Pass implements query.Client.
@@ -179,9 +252,9 @@
 
 // End implements query.Client.
 func (c *Client) End(clean bool) {
-	c.over = true
+	c.leave()
 	if clean {
-		c.link.Close()
+		c.link.Finish()
 	} else {
 		c.link.Abort()
 	}
--- a/internal/evloop/dial.go
+++ b/internal/evloop/dial.go
@@ -88,7 +88,11 @@
 func (l *Loop) Dial(addr string, timeout time.Duration, h Handler) *Link {
 	k := &Link{loop: l, handler: h}
 	l.links++
+	l.makeRoom()
 	fd, err := connect(addr)
+	if errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) {
+		err = ErrNoRoom
+	}
 	if err != nil {
 		k.lose(err)
 		return k
--- a/internal/evloop/evloop_test.go
+++ b/internal/evloop/evloop_test.go
@@ -1,6 +1,7 @@
 package evloop
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -14,7 +15,7 @@
 
 func startLoop(t *testing.T) *Loop {
 	t.Helper()
-	l, err := Start(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l, err := Start(slog.New(slog.NewTextHandler(io.Discard, nil)), Limits{Links: 1000, Queued: 1 << 16})
 	require.NoError(t, err)
 	t.Cleanup(l.Stop)
 	return l
@@ -70,7 +71,7 @@
 	assert.Equal(t, "alive opened", <-events)
 	assert.Equal(t, "dead closed", <-events)
 	assert.ErrorIs(t, dead.err, ErrConnectTimeout)
-	l.Call(func() { assert.Equal(t, 1, l.Links()) })
+	l.Call(func() { assert.Equal(t, 1, l.Held()) })
 }
 
 func TestADialGivenUpOrRefusedIsForgotten(t *testing.T) {
@@ -92,7 +93,7 @@
 	})
 	assert.Equal(t, "refused closed", <-events)
 	l.Call(func() {
-		assert.Equal(t, 0, l.Links())
+		assert.Equal(t, 0, l.Held())
 		assert.Empty(t, l.dialer.dials)
 		assert.Empty(t, l.timers)
 	})
@@ -117,6 +118,62 @@
 	assert.Equal(t, "MOVE\r\n", string(got))
 }
 
+// A peer that is still sending reads the last words all the same: a close with unread input would reset them away.
+func TestFinishingDrainsWhatThePeerStillSends(t *testing.T) {
+	l := startLoop(t)
+	ln, err := l.Listen("127.0.0.1:0", func(k *Link) Handler {
+		k.Write([]byte("ERR\r\n"))
+		k.Finish()
+		return &told{events: make(chan string, 2)}
+	})
+	require.NoError(t, err)
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	for range 256 {
+		_, err = c.Write(make([]byte, 1<<16))
+		require.NoError(t, err)
+	}
+	got, err := io.ReadAll(c)
+	require.NoError(t, err)
+	assert.Equal(t, "ERR\r\n", string(got))
+	l.Call(func() { assert.Equal(t, 0, l.Held(), "a finished connection makes way for others") })
+}
+
+// Connections that say nothing must not eat the descriptors that queries need: the oldest of them go.
+func TestTheOldestSpareConnectionsMakeWay(t *testing.T) {
+	l := startLoop(t)
+	l.limits.Links = 3
+	events := make(chan string, 100)
+	n := 0
+	ln, err := l.Listen("127.0.0.1:0", func(k *Link) Handler {
+		n++
+		k.Spare(n > 1) // the first one has a query
+		return &told{name: fmt.Sprint(n), events: events}
+	})
+	require.NoError(t, err)
+	defer ln.Close()
+	for i := 1; i <= 6; i++ {
+		c, err := net.Dial("tcp", ln.Addr())
+		require.NoError(t, err)
+		defer c.Close()
+		for e := range events {
+			if e == fmt.Sprintf("%d opened", i) {
+				break
+			}
+			assert.Equal(t, fmt.Sprintf("%d closed", i-3), e)
+		}
+	}
+	assert.Equal(t, "4 closed", <-events)
+	l.Call(func() {
+		assert.Equal(t, 1, l.Held())
+		assert.Equal(t, 3, l.links)
+		l.Dial("127.0.0.1:1", time.Second, &told{name: "dial", events: events})
+		assert.Equal(t, 3, l.links, "a dial takes a spare one's place")
+	})
+}
+
 func TestTimersFireInOrderAndStop(t *testing.T) {
 	l := startLoop(t)
 	fired := make(chan int, 10)
--- a/internal/evloop/link.go
+++ b/internal/evloop/link.go
@@ -1,23 +1,33 @@
 package evloop
 
 import (
+	"container/list"
 	"errors"
 	"io"
 	"syscall"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 )
 
 const (
 	readSize = 1 << 16
-	// outLimit is how much may wait for a peer that has stopped reading before its connection is given up.
-	outLimit = 256 << 10
 	// keepCap is the largest buffer that a connection keeps while it holds nothing.
-	keepCap = 16 << 10
+	keepCap = 4 << 10
+	// finishWithin and finishDrop bound what a peer may still send after a connection is finished: it may have
+	// 60 MB under way, and a reset before it has read its answer would destroy that.
+	finishWithin = 3 * time.Second
+	finishDrop   = 64 << 20
+	// flushEvery is how often a finished connection is looked at whose last words its peer has not taken yet.
+	flushEvery = 20 * time.Millisecond
 )
 
-// ErrNotReading ends a connection whose peer takes nothing any more.
-var ErrNotReading = errors.New("the peer does not read")
+// The ends of a connection that are no peer's doing.
+var (
+	ErrNotReading = errors.New("the peer does not read")
+	ErrNoRoom     = errors.New("there are too many connections")
+)
 
 // Handler is what a connection calls back.
 type Handler interface {
@@ -40,7 +50,10 @@
 	in      []byte              // received; the bytes before from are used up
 	from    int
 	closed  bool
-	muted   bool // closed by its handler, which is not called back any more
+	muted   bool          // closed by its handler, which is not called back any more
+	spare   *list.Element // among those that may be ended for want of room
+	ending  *Timer        // of a finished connection
+	dropped int           // bytes that came after it was finished
 }
 
 func (k *Link) opened(c gnet.Conn) gnet.Action {
@@ -55,6 +68,10 @@
 	if k.accept != nil {
 		k.loop.links++
 		k.handler = k.accept(k)
+		k.loop.makeRoom()
+		if k.closed {
+			return gnet.None
+		}
 	}
 	k.handler.Opened()
 	return gnet.None
@@ -62,6 +79,12 @@
 
 func (k *Link) traffic(c gnet.Conn) {
 	data, _ := c.Next(-1) // all of it: gnet's own inbound buffer stays empty
+	if k.ending != nil {
+		if k.dropped += len(data); k.dropped > finishDrop {
+			k.shut()
+		}
+		return
+	}
 	if k.closed {
 		return
 	}
@@ -98,17 +121,57 @@
 // Write sends data, or queues what the peer does not take at once. It may end the connection, which is then
 // told by Closed.
 func (k *Link) Write(data []byte) {
-	if k.closed || k.conn == nil || len(data) == 0 {
+	if k.closed || k.ending != nil || k.conn == nil || len(data) == 0 {
 		return
 	}
 	if _, err := k.conn.Write(data); err != nil {
 		return // gnet has closed the connection
 	}
-	if k.conn.OutboundBuffered() > outLimit {
+	if k.conn.OutboundBuffered() > k.loop.limits.Queued {
 		k.lose(ErrNotReading)
 	}
 }
 
+// Spare says whether the connection may be ended when there are too many; the oldest such goes first.
+func (k *Link) Spare(may bool) {
+	switch {
+	case may && k.spare == nil && !k.closed:
+		k.spare = k.loop.spare.PushBack(k)
+	case !may && k.spare != nil:
+		k.loop.spare.Remove(k.spare)
+		k.spare = nil
+	}
+}
+
+// Finish ends sending once what was written has gone out, drops what still comes, and closes when the peer does or
+// after a while. Closing at once with unread input would send a reset, which can destroy the last words before the
+// peer has read them. The handler is not called back any more.
+func (k *Link) Finish() {
+	if k == nil || k.closed || k.ending != nil {
+		return
+	}
+	if k.conn == nil {
+		k.Close()
+		return
+	}
+	k.muted, k.in, k.from = true, nil, 0
+	k.Spare(true)
+	until := k.loop.Now() + finishWithin
+	var flushed func()
+	flushed = func() {
+		switch left := until - k.loop.Now(); {
+		case left <= 0:
+			k.shut()
+		case k.conn.OutboundBuffered() > 0:
+			k.ending = k.loop.After(min(left, flushEvery), flushed)
+		default:
+			_ = unix.Shutdown(k.conn.Fd(), unix.SHUT_WR)
+			k.ending = k.loop.After(left, k.shut)
+		}
+	}
+	flushed()
+}
+
 // Close ends the connection. What was written goes out first: gnet's close writes once more what is queued.
 func (k *Link) Close() {
 	if k != nil {
@@ -121,8 +184,7 @@
 	if k.closed {
 		return
 	}
-	k.closed = true
-	k.loop.links--
+	k.gone()
 	k.in = nil
 	if k.dial != nil {
 		k.dial.cancel()
@@ -140,6 +202,14 @@
 	k.Close()
 }
 
+// gone takes the connection off the books.
+func (k *Link) gone() {
+	k.closed = true
+	k.loop.links--
+	k.Spare(false)
+	k.ending.Stop()
+}
+
 // lose ends the connection and tells its handler.
 func (k *Link) lose(err error) {
 	if k.closed {
@@ -161,8 +231,7 @@
 	if k.closed {
 		return
 	}
-	k.closed = true
-	k.loop.links--
+	k.gone()
 	if err == nil {
 		err = io.EOF
 	}
--- a/internal/evloop/listen.go
+++ b/internal/evloop/listen.go
@@ -25,8 +25,9 @@
 			if err == nil {
 				_, err = l.client.EnrollContext(conn, &Link{loop: l, accept: accept})
 			}
-			if err != nil { // out of descriptors, most likely: let some be freed, and go on
+			if err != nil { // out of descriptors, most likely: free some, and go on
 				l.log.Warn("accepting a connection failed", "error", err)
+				l.Do(func() { l.shed() })
 				time.Sleep(10 * time.Millisecond)
 			}
 		}
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -3,6 +3,7 @@
 package evloop
 
 import (
+	"container/list"
 	"context"
 	"fmt"
 	"log/slog"
@@ -28,16 +29,24 @@
 	alarm  *time.Timer
 	dialer *dialer
 
-	links   int // open connections and dials under way
+	limits  Limits
+	links   int       // open connections and dials under way
+	spare   list.List // of links that may be ended for want of room, the oldest first
 	depth   int
 	pending []func() // run when the callback under way is done
 }
 
+// Limits bound what the loop holds.
+type Limits struct {
+	Links  int // open connections and dials under way
+	Queued int // bytes that wait for a peer to read; its connection is given up beyond that
+}
+
 // Start starts the loop. It is a gnet client without addresses of its own: with gnet's server, one accept that
 // fails, as for want of descriptors, ends the whole engine (acceptor_unix.go), and a listener cannot be closed
 // before its connections. Here Listen accepts, and enrols what it accepted.
-func Start(log *slog.Logger) (*Loop, error) {
-	l := &Loop{log: log, base: time.Now()}
+func Start(log *slog.Logger, limits Limits) (*Loop, error) {
+	l := &Loop{log: log, base: time.Now(), limits: limits}
 	var err error
 	if l.client, err = gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{log}),
 		gnet.WithReadBufferCap(readSize), gnet.WithTCPNoDelay(gnet.TCPNoDelay)); err != nil {
@@ -116,8 +125,23 @@
 	return time.Duration(l.base.UnixNano()) + time.Since(l.base)
 }
 
-// Links returns how many connections are open or being made.
-func (l *Loop) Links() int { return l.links }
+// Held returns how many connections are open or being made, but for those that may be ended for want of room.
+func (l *Loop) Held() int { return l.links - l.spare.Len() }
+
+// makeRoom ends spare connections while there are too many. Descriptors that run out would fail dials and accepts.
+func (l *Loop) makeRoom() {
+	for l.links > l.limits.Links && l.shed() {
+	}
+}
+
+// shed ends the oldest spare connection.
+func (l *Loop) shed() bool {
+	oldest := l.spare.Front()
+	if oldest != nil {
+		oldest.Value.(*Link).lose(ErrNoRoom)
+	}
+	return oldest != nil
+}
 
 // Defer runs f when the callback under way is done.
 func (l *Loop) Defer(f func()) { l.pending = append(l.pending, f) }
@@ -161,11 +185,12 @@
 	return gnet.None
 }
 
-// gnetLog hands gnet's log lines on.
+// gnetLog hands gnet's log lines on. It warns of each event that waited for a connection when another one's callback
+// closed it, which is nothing to warn of.
 type gnetLog struct{ log *slog.Logger }
 
 func (g gnetLog) Debugf(format string, args ...any) { g.log.Debug(fmt.Sprintf(format, args...)) }
 func (g gnetLog) Infof(format string, args ...any)  { g.log.Debug(fmt.Sprintf(format, args...)) }
-func (g gnetLog) Warnf(format string, args ...any)  { g.log.Warn(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Warnf(format string, args ...any)  { g.log.Debug(fmt.Sprintf(format, args...)) }
 func (g gnetLog) Errorf(format string, args ...any) { g.log.Error(fmt.Sprintf(format, args...)) }
 func (g gnetLog) Fatalf(format string, args ...any) { g.log.Error(fmt.Sprintf(format, args...)) }
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"log/slog"
 	"strconv"
 	"time"
@@ -179,7 +180,11 @@
 
 // Closed implements evloop.Handler.
 func (a *attempt) Closed(err error) {
-	a.query.HostEnded(a.outcome(), evloop.Clean(err), a.said)
+	o := a.outcome()
+	if errors.Is(err, evloop.ErrNoRoom) {
+		o = balance.Unsent // no fault of the host's
+	}
+	a.query.HostEnded(o, evloop.Clean(err), a.said)
 }
 
 // Pass implements query.Attempt.
@@ -293,8 +298,10 @@
 }
 
 // Closed implements evloop.Handler. A connection that idled may be closed by the host just as it is asked.
-func (p *probe) Closed(error) {
+func (p *probe) Closed(err error) {
 	switch {
+	case errors.Is(err, evloop.ErrNoRoom):
+		p.end(balance.Unsent)
 	case !p.asking:
 		p.drop()
 	case p.open && !p.fresh:
