A bad request no longer sets the whole fleet aside

Ruled out: connects that fail (only at the crashed host) and probes (sound).

Now an error counts against the request where several servers give it one and nothing else speaks against them, or they are more than half of all; their strikes are taken back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -291,16 +291,6 @@
 	}
 }
 
-// weigh turns an expected load into a multiple of the mean load of arrivals.
-func (b *Balancer) weigh(load float64) float64 {
-	if !(load > 0) || math.IsInf(load, 0) {
-		return 1
-	}
-	b.loadsSeen++
-	b.meanLoad += (load - b.meanLoad) / b.loadsSeen
-	return load / b.meanLoad
-}
-
 // ---- Probes ----
 
 // probesPerArrival is the probe budget: it follows the instance's own traffic, so that the tier's probes
@@ -405,25 +395,6 @@
 
 // ---- Ranking ----
 
-// pick returns the server with the lowest value among those that are fit, ties at random.
-func (b *Balancer) pick(from []*server, value func(*server) (float64, bool)) *server {
-	var best *server
-	lowest, ties := math.Inf(1), 0
-	for _, s := range from {
-		v, fit := value(s)
-		if !fit || v > lowest {
-			continue
-		}
-		if v < lowest {
-			lowest, ties = v, 0
-		}
-		if ties++; ties == 1 || b.rng.IntN(ties) == 0 {
-			best = s
-		}
-	}
-	return best
-}
-
 // choose ranks all ready servers for a request and returns the one with the lowest ratio, or nil.
 func (b *Balancer) choose(r *request) *server {
 	b.survey()
@@ -674,7 +645,7 @@
 		a.established = true
 		b.stood.add(1, b.now, throttleFor)
 		a.server.enlist(r)
-		a.server.strikes /= 2
+		a.server.strikes, a.server.erredBy = a.server.strikes/2, 0
 		a.server.unproven = false
 	}
 }
@@ -711,11 +682,13 @@
 
 // judge draws evidence on a server's health from how an attempt ended.
 func (b *Balancer) judge(r *request, a *attempt, o Outcome) {
-	if !a.established && (o == Errored || o == TimedOut) {
+	if !a.established && (o == TimedOut || o == Errored && len(r.erred) == 0) {
 		b.failed.add(1, b.now, throttleFor)
 	}
 	switch o {
-	case Errored, Unreachable, Reset:
+	case Errored:
+		b.blame(r, a.server)
+	case Unreachable, Reset:
 		b.strike(a.server)
 	case TimedOut:
 		if !a.established {
@@ -726,6 +699,25 @@
 	}
 }
 
+// blame takes an error as evidence against the server, or against the request: where several servers answer
+// one request with an error, and nothing else speaks against them or they are most of all, the request is at
+// fault. It guards against a bad request that sets aside the whole fleet, server by server.
+func (b *Balancer) blame(r *request, s *server) {
+	alone := s.erredBy == 0 || s.erredBy == r.Request
+	s.erredBy = r.Request
+	if r.erred = append(r.erred, s); len(r.erred) == 1 || !alone {
+		if b.now >= s.asideTo {
+			s.struckBy, s.alone = r.Request, alone
+		}
+		b.strike(s)
+	}
+	for _, s := range r.erred {
+		if s.struckBy == r.Request && len(r.erred) > 1 && (s.alone || 2*len(r.erred) > b.ready) {
+			s.strikes, s.asideTo, s.unproven, s.struckBy = max(0, s.strikes-1), 0, false, 0
+		}
+	}
+}
+
 // strike sets a server aside for longer each time. It guards against a server that fails fast: its ratio
 // stays low and it would swallow every arrival. Further failures while it is aside are the same event.
 func (b *Balancer) strike(s *server) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -521,6 +521,41 @@
 	}
 }
 
+// A request that one server after the other answers with an error is at fault itself: it must not set the fleet
+// aside. Servers that err on one request after the other are.
+func TestABadRequestSetsNoServerAside(t *testing.T) {
+	d := drive(t, settings(), 1)
+	d.fleet(0.1, 0.2, 0.3, 0.5, 0.5, 0.5, 0.5, 0.5)
+	bad := func(id balance.RequestID, want ...string) {
+		t.Helper()
+		acts := d.arrive(id, "safe", 2*sec)
+		for n, w := range want {
+			if got := placed(acts); got != w {
+				t.Fatalf("attempt %d of request %d on %q, want %q", n, id, got, w)
+			}
+			acts = d.end(id, n, balance.Errored, false)
+		}
+	}
+	bad(1, "a", "b", "c")
+	if got := placed(d.arrive(2, "safe", 2*sec)); got != "a" {
+		t.Fatalf("the next arrival is placed on %q, want a", got)
+	}
+	d.do(balance.Established{Request: 2})
+	for id := balance.RequestID(21); id <= 24; id++ {
+		d.arrive(id, "safe", 2*sec)
+		d.do(balance.Established{Request: id})
+		d.end(id, 0, balance.OK, true)
+	}
+	bad(3, "a", "b", "c") // one stood at a since, b and c erred again
+	if got := placed(d.arrive(4, "safe", 2*sec)); got != "a" {
+		t.Errorf("placed on %q, want a: one has stood there", got)
+	}
+	d.end(4, 0, balance.Errored, false)
+	if got := placed(d.arrive(5, "safe", 2*sec)); got < "d" {
+		t.Errorf("placed on %q, which errs on one request after the other", got)
+	}
+}
+
 func TestWhenNearlyAllLookSickTheVerdictIsDoubted(t *testing.T) {
 	d := drive(t, settings(), 1)
 	d.fleet(0.1, 0.3, 0.4, 0.5, 0.6)
--- a/balance/state.go
+++ b/balance/state.go
@@ -74,6 +74,9 @@
 	strikes   int
 	asideTo   time.Duration
 	unproven  bool          // after a strike: no probe was answered yet
+	erredBy   RequestID     // the last request that it answered with an error; 0: one has stood since
+	struckBy  RequestID     // the request whose error was its last strike
+	alone     bool          // and no other request spoke against it
 	slowFrom  time.Duration // messages take too long since then; 0: they do not
 	slowAt    time.Duration // when that was last told
 	delay     time.Duration // how long a message took then
@@ -127,8 +130,9 @@
 	homes    []*server // where connections of its group gather, the first choice first
 	asked    []*server
 	attempts []attempt
-	mayRun   int  // first attempt that may have run, or -1
-	over     bool // answered or told to be over
+	erred    []*server // that answered it with an error
+	mayRun   int       // first attempt that may have run, or -1
+	over     bool      // answered or told to be over
 	held     bool
 }
 
@@ -260,6 +264,35 @@
 	b.opened(r)
 }
 
+// weigh turns an expected load into a multiple of the mean load of arrivals.
+func (b *Balancer) weigh(load float64) float64 {
+	if !(load > 0) || math.IsInf(load, 0) {
+		return 1
+	}
+	b.loadsSeen++
+	b.meanLoad += (load - b.meanLoad) / b.loadsSeen
+	return load / b.meanLoad
+}
+
+// pick returns the server with the lowest value among those that are fit, ties at random.
+func (b *Balancer) pick(from []*server, value func(*server) (float64, bool)) *server {
+	var best *server
+	lowest, ties := math.Inf(1), 0
+	for _, s := range from {
+		v, fit := value(s)
+		if !fit || v > lowest {
+			continue
+		}
+		if v < lowest {
+			lowest, ties = v, 0
+		}
+		if ties++; ties == 1 || b.rng.IntN(ties) == 0 {
+			best = s
+		}
+	}
+	return best
+}
+
 // reportedRatio reads load over capacity out of a report, from the best value that it holds.
 func (b *Balancer) reportedRatio(s *server, rep Report) (float64, bool) {
 	ratio := -1.0
