Connections wait for their turn to be set up instead of timing out at the hosts

Checked by a trace: 111 clients came back within half a second, 90 were sent on at once; the fleet set up 24 a second and then 15 and 6: 128 attempts timed out while they waited their turn, each was sent to the next host with the class's aim of 300 ms as its time-out, and the work of all of them was lost. Also, arrivals were refused for a server at 0.94 while the others at 0.0 to 0.5 only waited for a probe's answer (choose leaves those out, crowdedOut judged the one that was left). Ruled out: CPU (0.04 s in the worst second), probes (1 ms), full hosts.

At fault: balance.go, place and choose, which put no bound on what waits at a host. Now a host is sent no more connections than it sets up within twice the shortest aim, by the pace that the answers show (8 until it is known, 2 at least); arrivals wait in the node, the oldest first, and are refused at once where the wait would take half of their time. A full server is not the last word while one that is not full lacks only a probe's answer or room.

The set-up's pace is measured per host; what is behind all hosts shows in all of them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,8 @@
 	// throttleFor is over what time failed attempts are weighed against those that stand: a few rounds of
 	// attempts, so that a single burst does not decide.
 	throttleFor = 3 * reportLife
+	// fewSetUps is how many connections may wait to be set up at a server in any case.
+	fewSetUps = 8
 	// overShare is the part of the ceiling up to which traffic beyond a tenant's share is let in: the rest is
 	// kept for what is worth more.
 	overShare = 0.75
@@ -78,6 +80,9 @@
 	}
 	for _, c := range set.Classes {
 		b.classes[c.Name] = c
+		if b.setUpAim == 0 || c.Aim > 0 && c.Aim < b.setUpAim {
+			b.setUpAim = c.Aim
+		}
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
 		}
@@ -332,28 +337,6 @@
 	return asked
 }
 
-// likely returns up to n servers with the lowest estimates among those worth a probe.
-func (b *Balancer) likely(n int) []*server {
-	if n < 1 || len(b.servers) == 0 {
-		return nil
-	}
-	lowest := make([]*server, 0, n+1)
-	from := b.rng.IntN(len(b.servers)) // so that equal ones take turns
-	for i := range b.servers {
-		s := b.servers[(from+i)%len(b.servers)]
-		if !b.stale(s) || b.aside(s) || len(lowest) == n && s.rank >= lowest[n-1].rank {
-			continue
-		}
-		at := len(lowest)
-		for at > 0 && lowest[at-1].rank > s.rank {
-			at--
-		}
-		lowest = slices.Insert(lowest, at, s)
-		lowest = lowest[:min(len(lowest), n)]
-	}
-	return lowest
-}
-
 func (b *Balancer) probe(s *server) {
 	b.probeTokens--
 	s.probing, s.probedAt = true, b.now
@@ -401,13 +384,14 @@
 	trust := 4*b.sick <= 3*b.ready // when nearly all look sick, the verdict is doubted, not the fleet
 	b.fit = b.fit[:0]
 	for _, s := range b.servers {
-		if b.permitted(r, s) && !(trust && b.aside(s)) && !s.probing && b.coldRoom(s) {
+		sound := !(trust && b.aside(s)) && !s.probing
+		if b.permitted(r, s) && sound && b.setUpRoom(s) && b.coldRoom(s) {
 			b.fit = append(b.fit, s)
 		}
 	}
 	if len(b.fit) == 0 {
 		return b.pick(b.servers, func(s *server) (float64, bool) {
-			return s.rank, b.permitted(r, s) && b.coldRoom(s)
+			return s.rank, b.permitted(r, s) && b.setUpRoom(s) && b.coldRoom(s)
 		})
 	}
 	b.favour(r.homes, 1)
@@ -566,27 +550,6 @@
 	b.wake(until-b.now, r.Request, wakeHold)
 }
 
-// retryWaiting places held requests whose wait is over.
-func (b *Balancer) retryWaiting() {
-	for _, r := range append([]*request(nil), b.waiting...) {
-		if r.held && !b.awaitsProbes(r) {
-			b.place(r)
-		}
-	}
-}
-
-func (b *Balancer) awaitsProbes(r *request) bool {
-	if b.now >= r.holdTo {
-		return false
-	}
-	for _, s := range r.asked {
-		if s.probing && s.listed {
-			return true
-		}
-	}
-	return false
-}
-
 // place sends a request to the best server, holds it while there is none, or answers it.
 func (b *Balancer) place(r *request) {
 	left := r.deadline - b.now
@@ -595,13 +558,16 @@
 		return
 	}
 	s := b.choose(r)
+	if s != nil && s.estimate >= ceiling && b.roomLater(r) {
+		s = nil
+	}
 	if s != nil && (b.crowdedOut(r, s) || b.throttled()) {
 		b.answer(r)
 		return
 	}
 	if s == nil {
 		more := slices.ContainsFunc(b.servers, func(s *server) bool { return b.permitted(r, s) })
-		if len(r.attempts) > 0 && !more {
+		if len(r.attempts) > 0 && !more || b.queueTime() > left/2 {
 			b.answer(r)
 			return
 		}
@@ -613,8 +579,9 @@
 	if len(r.attempts)+1 < b.set.MaxAttempts && r.class.Effect != Unsafe {
 		timeout = min(left, max(r.class.Aim, min(left/2, 2*r.class.Aim)))
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sentAt: b.now, pending: true})
+	r.attempts = append(r.attempts, attempt{server: s, sentAt: b.now, ahead: s.settingUp, pending: true})
 	s.sent++
+	s.settingUp++
 	b.opened(r)
 	b.note(s, r.weight)
 	b.act(Place{Request: r.Request, Server: s.Server, Timeout: timeout})
@@ -642,11 +609,13 @@
 
 func (b *Balancer) onEstablished(e Established) {
 	if r, a := b.lookup(e.Request, e.Attempt); a != nil {
+		b.wasSetUp(a, true)
 		a.established = true
 		b.stood.add(1, b.now, throttleFor)
 		a.server.enlist(r)
 		a.server.strikes, a.server.erredBy = a.server.strikes/2, 0
 		a.server.unproven = false
+		b.admit()
 	}
 }
 
@@ -655,7 +624,10 @@
 	if r == nil {
 		return
 	}
-	a.pending = false
+	if a.pending = false; !a.established {
+		b.wasSetUp(a, e.Outcome == TimedOut)
+		defer b.admit()
+	}
 	a.server.delist(r)
 	b.closed(r)
 	b.note(a.server, -r.weight)
@@ -809,6 +781,26 @@
 	}
 }
 
+// ---- Setting up ----
+
+// setUpRoom says whether a server may be sent one more connection to set up: as many wait there as it sets
+// up within twice the shortest aim. It guards against clients that come all at once, as after a restart: what
+// waits for longer times out and is sent to the next server, and the work of the first is lost, until none
+// comes up at all.
+func (b *Balancer) setUpRoom(s *server) bool {
+	if s.pace == 0 {
+		return s.settingUp < fewSetUps
+	}
+	return s.settingUp < max(2, int(2*b.setUpAim/s.pace))
+}
+
+// roomLater says whether a server that is not full only lacks the answer to a probe or room to set up.
+func (b *Balancer) roomLater(r *request) bool {
+	return slices.ContainsFunc(b.servers, func(s *server) bool {
+		return b.permitted(r, s) && !b.aside(s) && s.estimate < ceiling && (s.probing || !b.setUpRoom(s))
+	})
+}
+
 // ---- Cold servers ----
 
 // coldRoom says whether a server that has just started may take one more connection from this balancer. It
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -724,6 +724,60 @@
 	}
 }
 
+// Clients that come all at once, as after a restart, find servers that set up one connection after the other. What
+// waits at a server for longer than its attempt's time-out is lost work there, and the next server's too: it waits
+// here for its turn, or is refused at once where its turn would come too late.
+func TestAStormOfArrivalsIsSetUpInTurn(t *testing.T) {
+	set := settings()
+	set.MaxRetryAfter = sec
+	d := drive(t, set, 1)
+	d.fleet(0, 0)
+	queues, out := map[balance.ServerID][]balance.RequestID{}, 0
+	most, stood, refused, timedOut := 0, 0, 0, 0
+	take := func(acts []balance.Action) {
+		for _, a := range acts {
+			switch a := a.(type) {
+			case balance.Place:
+				queues[a.Server] = append(queues[a.Server], a.Request)
+				out++
+				most = max(most, out)
+			case balance.Refuse:
+				refused++
+			}
+		}
+	}
+	sent := map[balance.RequestID]time.Duration{}
+	for id := balance.RequestID(1); id <= 60; id++ {
+		take(d.arrive(id, "safe", 2*sec))
+		sent[id] = d.now
+	}
+	for range 40 { // each server sets one up every 100 ms
+		d.now += 100 * ms
+		for _, s := range []balance.ServerID{"a", "b"} {
+			if len(queues[s]) == 0 {
+				continue
+			}
+			id := queues[s][0]
+			queues[s] = queues[s][1:]
+			out--
+			if d.now-sent[id] > 2*sec {
+				timedOut++
+			}
+			stood++
+			take(d.do(balance.Established{Request: id}))
+		}
+		for _, a := range d.all {
+			if w, ok := a.(balance.Wake); ok && w.Token&3 == 1 {
+				take(d.do(balance.Woken{Token: w.Token}))
+			}
+		}
+	}
+	if most > 20 || timedOut > 0 || stood+refused != 60 || stood < 20 {
+		t.Errorf("%d out at once, %d too late, %d stood, %d refused; want 16 out at most and none too late",
+			most, timedOut, stood, refused)
+	}
+}
+
 // A balancer that starts among loaded servers holds few of their many connections. These few must not pass for all:
 // the servers would seem tiny and full, and the clients that come back after a restart would be refused.
 func TestFewOwnConnectionsOnLoadedServersDoNotMakeThemTiny(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,6 +51,7 @@
 	askFails    int
 	looking     bool
 	noted       bool          // notes tell how long messages take
+	setUpAim    time.Duration // the shortest aim of a class
 	aim         time.Duration // the shortest in which messages are wanted; 0: not told
 }
 
@@ -82,6 +83,8 @@
 	delay     time.Duration // how long a message took then
 	drainFrom time.Duration // when it was told to drain
 	eased     time.Duration // when connections were last moved off
+	settingUp int           // attempts of ours that are not up yet
+	pace      time.Duration // how long it takes to set one up; 0: unknown
 	slot      int64         // cold budget: the current window, what it allows, what was sent
 	allowed   int
 	sent      int
@@ -110,6 +113,7 @@
 type attempt struct {
 	server      *server
 	sentAt      time.Duration
+	ahead       int // connections that the server was setting up then
 	pending     bool
 	established bool
 }
@@ -293,6 +297,91 @@
 	return best
 }
 
+// likely returns up to n servers with the lowest estimates among those worth a probe.
+func (b *Balancer) likely(n int) []*server {
+	if n < 1 || len(b.servers) == 0 {
+		return nil
+	}
+	lowest := make([]*server, 0, n+1)
+	from := b.rng.IntN(len(b.servers)) // so that equal ones take turns
+	for i := range b.servers {
+		s := b.servers[(from+i)%len(b.servers)]
+		if !b.stale(s) || b.aside(s) || len(lowest) == n && s.rank >= lowest[n-1].rank {
+			continue
+		}
+		at := len(lowest)
+		for at > 0 && lowest[at-1].rank > s.rank {
+			at--
+		}
+		lowest = slices.Insert(lowest, at, s)
+		lowest = lowest[:min(len(lowest), n)]
+	}
+	return lowest
+}
+
+// wasSetUp takes note that an attempt no longer waits to be set up, and of how long each one before it took, where
+// that can be told.
+func (b *Balancer) wasSetUp(a *attempt, told bool) {
+	s := a.server
+	s.settingUp = max(0, s.settingUp-1)
+	if !told {
+		return
+	}
+	took := (b.now - a.sentAt) / time.Duration(a.ahead+1)
+	if s.pace == 0 {
+		s.pace = took
+	}
+	s.pace = max(s.pace+(took-s.pace)/4, time.Microsecond)
+}
+
+// queueTime is how long an arrival that is held now would wait for its turn.
+func (b *Balancer) queueTime() time.Duration {
+	perSecond := 0.0
+	for _, s := range b.servers {
+		if s.State == Ready && s.pace > 0 && !b.aside(s) {
+			perSecond += float64(time.Second) / float64(s.pace)
+		}
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(len(b.waiting)) / perSecond * float64(time.Second))
+}
+
+// retryWaiting places held requests whose wait is over.
+func (b *Balancer) retryWaiting() {
+	for _, r := range append([]*request(nil), b.waiting...) {
+		if r.held && !b.awaitsProbes(r) {
+			b.place(r)
+		}
+	}
+}
+
+func (b *Balancer) awaitsProbes(r *request) bool {
+	if b.now >= r.holdTo {
+		return false
+	}
+	for _, s := range r.asked {
+		if s.probing && s.listed {
+			return true
+		}
+	}
+	return false
+}
+
+// admit places what waits, the oldest first, as long as there is room.
+func (b *Balancer) admit() {
+	for len(b.waiting) > 0 {
+		r := b.waiting[0]
+		if b.awaitsProbes(r) {
+			return
+		}
+		if b.place(r); r.held {
+			return
+		}
+	}
+}
+
 // reportedRatio reads load over capacity out of a report, from the best value that it holds.
 func (b *Balancer) reportedRatio(s *server, rep Report) (float64, bool) {
 	ratio := -1.0
