A client that floods is moved and its host is not struck; huge waits and no text are errors

Now such a client is moved with nothing held against its host; waits over 10 minutes and lines that are no text are errors; d=0 is no wait instead of the class's deadline. Discovery's answers may have 2 MiB instead of 8: the memory can be 32 MB.

--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -578,6 +578,7 @@
 		"HELLO\r\n", "\r\n", "OPEN\r\n", "OPEN 1 2\r\n", "OPEN 1 2 3 4\r\n", "OPEN 1 2 c\r\n", "OPEN 1 2 t=acme\r\n",
 		"OPEN 1 2 c=nosuch,d=100\r\n", "OPEN 1 2 c=chat,d=-1\r\n", "OPEN 1 2 c=chat,d=1e9\r\n", "OPEN 1 2 c=chat,h=NaN\r\n",
 		"OPEN 1 2 c=chat,d=100\n", strings.Repeat("x", 5000), "\x00\xff\r\n",
+		"OPEN 1 2 c=chat,d=4294967295\r\n", "OPEN 1 2 c=chat,d=18446744073709551617\r\n", "OPEN 1 2 c=chat,x=\xff\r\n",
 		"OPEN 1 2 c=chat,d=100,x=a\rb\r\n", "OPEN 1 2 c=chat,d=100,x=\x00\r\n",
 		"OPEN 1 2 c=chat,d=100\r\nM 1 ab\r\n", strings.Repeat("OPEN 1 2 c=chat,d=100\r\n", 300),
 		strings.Repeat("PING\r\n", 300), "OPEN 1 2 c=chat,d=100\r\nOPEN", strings.Repeat("x", 8<<20),
@@ -639,6 +640,32 @@
 	<-left
 }
 
+// A client that sends without end is moved; its host is sound and gets the next query.
+func TestAFloodFromAClientIsNotHeldAgainstItsHost(t *testing.T) {
+	h := newHost(t, "a", func(line string, c net.Conn, r *bufio.Reader) {
+		if strings.Contains(line, "x=flood") {
+			io.WriteString(c, "UP r1\r\n")
+			<-t.Context().Done() // it reads nothing more
+			return
+		}
+		echo(line, c, r)
+	})
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	flood := dial(t, n)
+	open(flood, ",x=flood")
+	require.Equal(t, "UP r1", flood.hear())
+	go func() {
+		lines := bytes.Repeat([]byte("M 1 0123456789abcdef\r\n"), 1000)
+		for err := error(nil); err == nil; {
+			_, err = flood.Write(lines)
+		}
+	}()
+	assert.Equal(t, "MOVE", flood.hear())
+	c := dial(t, n)
+	open(c, "")
+	assert.Equal(t, "UP r1", c.hear())
+}
+
 func TestAFloodFromAHostDoesNotGrowTheNode(t *testing.T) {
 	blocked := make(chan struct{})
 	h := newHost(t, "a", func(_ string, c net.Conn, _ *bufio.Reader) {
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -169,7 +169,7 @@
 		c.Throttle(c.door.retry)
 		return
 	}
-	if open.Wait == 0 {
+	if !open.Told {
 		open.Wait = c.door.classes[open.Class].Deadline
 	}
 	c.late.Stop()
--- a/internal/hostgroup/http.go
+++ b/internal/hostgroup/http.go
@@ -16,7 +16,7 @@
 
 const (
 	headMax = 16 << 10
-	bodyMax = 8 << 20
+	bodyMax = 2 << 20
 )
 
 // answer is an HTTP/1.1 answer.
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -8,6 +8,7 @@
 	"math"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"lichenhitch/balance"
 )
@@ -15,6 +16,9 @@
 // Max is the longest line, with its CRLF.
 const Max = 4 << 10
 
+// maxWait is the longest wait that a client may tell, in milliseconds. Clients wait for seconds.
+const maxWait = 600_000
+
 // The faults of a line.
 var (
 	ErrTooLong   = errors.New("the line is longer than 4 KiB")
@@ -59,7 +63,8 @@
 	Class, Tenant string
 	Group         string
 	At            balance.ServerID // the host that holds the connection from before
-	Wait          time.Duration    // how long the client waits; 0: not told
+	Wait          time.Duration    // how long the client waits, where it is told
+	Told          bool
 	Load          float64
 	Retry, Again  bool
 	MidFlow       bool
@@ -76,7 +81,7 @@
 	}
 	id, rest := Word(rest)
 	flow, list := Word(rest)
-	if len(id) == 0 || len(flow) == 0 || len(list) == 0 || bytes.ContainsAny(list, " ") || hasControl(text) {
+	if len(id) == 0 || len(flow) == 0 || len(list) == 0 || bytes.ContainsAny(list, " ") || !isText(text) {
 		return Open{}, fmt.Errorf("%w: an id, a key and a list are wanted", ErrMalformed)
 	}
 	o := Open{ID: string(id), Key: string(flow), text: bytes.Clone(text)}
@@ -102,9 +107,9 @@
 	return o, nil
 }
 
-// hasControl says whether a text holds control characters: a lone CR might pass for the end of a line elsewhere.
-func hasControl(text []byte) bool {
-	return bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f })
+// isText says whether a text is one, without control characters: a lone CR might pass for the end of a line elsewhere.
+func isText(text []byte) bool {
+	return utf8.Valid(text) && !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f })
 }
 
 func (o *Open) set(name, value string) error {
@@ -130,9 +135,11 @@
 			err = strconv.ErrRange
 		}
 	case "d":
-		var ms uint32
-		ms, err = parseMillis(value)
-		o.Wait = time.Duration(ms) * time.Millisecond
+		var ms uint64
+		if ms, err = strconv.ParseUint(value, 10, 64); err == nil && ms > maxWait {
+			err = strconv.ErrRange
+		}
+		o.Wait, o.Told = time.Duration(ms)*time.Millisecond, true
 	}
 	if err != nil {
 		return fmt.Errorf("%w: %s=%.40q", ErrMalformed, name, value)
@@ -140,11 +147,6 @@
 	return nil
 }
 
-func parseMillis(value string) (uint32, error) {
-	ms, err := strconv.ParseUint(value, 10, 32)
-	return uint32(ms), err
-}
-
 // Append appends the line as it goes to a host: d tells what is left, and every other byte is the client's.
 func (o *Open) Append(to []byte, left time.Duration) []byte {
 	if o.upTo == 0 {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -369,6 +369,14 @@
 	q.HostEnded(balance.Errored, true, balance.Report{})
 }
 
+// HostBehind says that the host does not take what the client sends, at the speed at which it is sent. The host may
+// be sound and still answer: the client is moved, and nothing is held against the host.
+func (q *Query) HostBehind() {
+	if q.state == up {
+		q.move(balance.Cancelled)
+	}
+}
+
 // ClientLines passes lines of the client on.
 func (q *Query) ClientLines(lines []byte) {
 	if q.state != up {
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -180,6 +180,10 @@
 
 // Closed implements evloop.Handler.
 func (a *attempt) Closed(err error) {
+	if a.up && errors.Is(err, evloop.ErrNotReading) {
+		a.query.HostBehind()
+		return
+	}
 	o := a.outcome()
 	if errors.Is(err, evloop.ErrNoRoom) {
 		o = balance.Unsent // no fault of the host's
