Servers are filled to 0.8, and a node's own arrivals no longer count twice

Checked: a print of estimate, room and arrivals at each refusal, and the hosts' own reports over time.

At fault: balance.go, ceiling, and crowdedOut, which weighed the balancer's own arrivals against room that its estimates had lost to them already. Now 0.8, and only the other balancers' arrivals count.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,9 +32,9 @@
 	// holdPart is the part of a class's aim for which an arrival may wait for probes. Small, so that most of
 	// the aim is left for a second attempt.
 	holdPart = 8
-	// ceiling is the ratio up to which servers are filled. Load is uneven and reports are noisy, so a server
-	// filled to 1 is beyond it half of the time, and then serves nobody.
-	ceiling = 0.9
+	// ceiling is the ratio up to which servers are filled. Load is uneven and changes, and reports are late
+	// and noisy, so a server filled to 1 is beyond it half of the time, and then serves nobody.
+	ceiling = 0.8
 	// crossingRatio turns the price of crossing zones into a ratio, in units of the room that the fleet has:
 	// a price of a few hundredths is a modest step while there is room, and nothing near the ceiling.
 	crossingRatio = 6
@@ -862,12 +862,13 @@
 
 // ---- Admission ----
 
-// crowdedOut says whether a request that would go to s must be refused: s is full, or the balancers together
+// crowdedOut says whether a request that would go to s must be refused: s is full, or the other balancers
 // place more, before reports can show it, than fits below the ceiling; as much as fits is let in by chance.
+// What this one placed is in its estimates.
 // It guards against a jam that feeds itself: full servers serve nobody, drop their clients, and these come
 // again. Where room is short, what a tenant sends beyond its share is the first to go.
 func (b *Balancer) crowdedOut(r *request, s *server) bool {
-	coming := b.recent.over(b.now, reportLife) * float64(b.set.Balancers)
+	coming := b.recent.over(b.now, reportLife) * float64(b.set.Balancers-1)
 	limit := ceiling
 	if t := r.tenant; t != nil && t.beyondShare(b.set.Balancers) {
 		coming, limit = 2*coming, overShare*ceiling
