--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,10 @@
 	throttleFor = 3 * reportLife
 	// fewSetUps is how many connections may wait to be set up at a server in any case.
 	fewSetUps = 8
+	// erringMost is the part of its attempts that a server may answer with an error before it is set aside,
+	// and erringStep how much each one counts: half a dozen in a row.
+	erringMost = 0.75
+	erringStep = 0.2
 	// overShare is the part of the ceiling up to which traffic beyond a tenant's share is let in: the rest is
 	// kept for what is worth more.
 	overShare = 0.75
@@ -613,7 +617,8 @@
 		a.established = true
 		b.stood.add(1, b.now, throttleFor)
 		a.server.enlist(r)
-		a.server.strikes, a.server.erredBy = a.server.strikes/2, 0
+		a.server.strikes /= 2
+		a.server.erring -= a.server.erring * erringStep
 		a.server.unproven = false
 		b.admit()
 	}
@@ -654,7 +659,7 @@
 
 // judge draws evidence on a server's health from how an attempt ended.
 func (b *Balancer) judge(r *request, a *attempt, o Outcome) {
-	if !a.established && (o == TimedOut || o == Errored && len(r.erred) == 0) {
+	if !a.established && (o == TimedOut || o == Errored && !r.erred) {
 		b.failed.add(1, b.now, throttleFor)
 	}
 	switch o {
@@ -671,22 +676,16 @@
 	}
 }
 
-// blame takes an error as evidence against the server, or against the request: where several servers answer
-// one request with an error, and nothing else speaks against them or they are most of all, the request is at
-// fault. It guards against a bad request that sets aside the whole fleet, server by server.
+// blame takes the first error that a request meets as evidence against the server, which is set aside once
+// nearly all end so. One that errs now and then costs a moment and an attempt, and its room is needed; and a
+// bad request, which every server answers with an error, must not set aside one after the other.
 func (b *Balancer) blame(r *request, s *server) {
-	alone := s.erredBy == 0 || s.erredBy == r.Request
-	s.erredBy = r.Request
-	if r.erred = append(r.erred, s); len(r.erred) == 1 || !alone {
-		if b.now >= s.asideTo {
-			s.struckBy, s.alone = r.Request, alone
-		}
-		b.strike(s)
+	if r.erred {
+		return
 	}
-	for _, s := range r.erred {
-		if s.struckBy == r.Request && len(r.erred) > 1 && (s.alone || 2*len(r.erred) > b.ready) {
-			s.strikes, s.asideTo, s.unproven, s.struckBy = max(0, s.strikes-1), 0, false, 0
-		}
+	r.erred = true
+	if s.erring += (1 - s.erring) * erringStep; s.erring > erringMost {
+		b.strike(s)
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -75,9 +75,7 @@
 	strikes   int
 	asideTo   time.Duration
 	unproven  bool          // after a strike: no probe was answered yet
-	erredBy   RequestID     // the last request that it answered with an error; 0: one has stood since
-	struckBy  RequestID     // the request whose error was its last strike
-	alone     bool          // and no other request spoke against it
+	erring    float64       // the part of the latest attempts that it answered with an error
 	slowFrom  time.Duration // messages take too long since then; 0: they do not
 	slowAt    time.Duration // when that was last told
 	delay     time.Duration // how long a message took then
@@ -134,9 +132,9 @@
 	homes    []*server // where connections of its group gather, the first choice first
 	asked    []*server
 	attempts []attempt
-	erred    []*server // that answered it with an error
-	mayRun   int       // first attempt that may have run, or -1
-	over     bool      // answered or told to be over
+	erred    bool // a server answered it with an error
+	mayRun   int  // first attempt that may have run, or -1
+	over     bool // answered or told to be over
 	held     bool
 }
 
