--- a/internal/evloop/evloop_test.go
+++ b/internal/evloop/evloop_test.go
@@ -174,6 +174,17 @@
 	})
 }
 
+// A second stop must not close descriptors again: another loop may have been given their numbers.
+func TestASecondStopDisturbsNoOtherLoop(t *testing.T) {
+	first := startLoop(t)
+	first.Stop()
+	second := startLoop(t)
+	first.Stop()
+	fired := make(chan bool, 1)
+	require.True(t, second.Do(func() { second.After(time.Millisecond, func() { fired <- true }) }))
+	assert.True(t, <-fired)
+}
+
 func TestTimersFireInOrderAndStop(t *testing.T) {
 	l := startLoop(t)
 	fired := make(chan int, 10)
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -28,6 +29,7 @@
 	timers timerHeap
 	alarm  *time.Timer
 	dialer *dialer
+	stop   sync.Once
 
 	limits  Limits
 	links   int       // open connections and dials under way
@@ -85,8 +87,11 @@
 	return nil
 }
 
-// Stop ends the loop. Connections are cut.
-func (l *Loop) Stop() {
+// Stop ends the loop. Connections are cut. A second call does nothing: gnet would close its descriptors again, which
+// others may hold by then.
+func (l *Loop) Stop() { l.stop.Do(l.end) }
+
+func (l *Loop) end() {
 	if err := l.client.Stop(); err != nil {
 		l.log.Warn("event loop stopped with an error", "error", err)
 	}
