--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -555,8 +555,10 @@
 	_, err := io.WriteString(half, "OPEN 9b1f 7f3a c=ch")
 	require.NoError(t, err)
 	go func() {
-		for err := error(nil); err == nil; time.Sleep(10 * time.Millisecond) {
-			_, err = io.WriteString(trickle, "O")
+		for range time.Tick(10 * time.Millisecond) {
+			if _, err := io.WriteString(trickle, "O"); err != nil {
+				return
+			}
 		}
 	}()
 	for _, c := range []*client{silent, half, trickle} {
