The life of a query is a pure state machine, and the core is rebuilt on it

Change: internal/life holds states, events and effects as one function, with the rule of silence and the steps of a departure; internal/query carries the effects out and hands timers out as plain data. Attempts carry their number, so that late words of withdrawn ones have no effect.

--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -18,6 +18,7 @@
 	"lichenhitch/internal/config"
 	"lichenhitch/internal/evloop"
 	"lichenhitch/internal/hostgroup"
+	"lichenhitch/internal/life"
 	"lichenhitch/internal/query"
 	"lichenhitch/internal/serverlink"
 )
@@ -30,9 +31,8 @@
 	probeSockets = 16
 	// queuedPart is the part of the memory that may hold what waits for peers to read, all connections together.
 	queuedPart = 4
-	// acceptOn is how long the node goes on accepting after SIGTERM: the front sends new connections for up
-	// to 0.4 s more.
-	acceptOn = 500 * time.Millisecond
+	// leaveLook is how often a leaving node looks whether it may stop.
+	leaveLook = 20 * time.Millisecond
 )
 
 func main() {
@@ -92,7 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
-	core := query.New(log, clock{loop}, cfg.Settings, cfg.Seed)
+	ticks := &clock{loop: loop}
+	core := query.New(log, ticks, cfg.Settings, cfg.Seed)
+	ticks.core = core
 	group := hostgroup.New(log, loop, core, cfg.Discovery)
 	hosts := serverlink.New(log, loop, core, connectTimeout(cfg.Settings), group.Endpoint)
 	door := clientlink.New(log, loop, core, cfg.Settings, links-probeSockets)
@@ -145,44 +147,41 @@
 	return time.Second
 }
 
-// leave answers all that was taken and stops. Where packets pass through, open connections are carried until the
-// front has taken them to another node, or for as long as the node may stay: with no other node there, they
-// would stand still until this one is back. Elsewhere their clients are moved.
+// leave answers all that was taken and stops, in the steps of life.Departure.
 func (n *node) leave() {
-	begun := time.Now()
-	time.Sleep(acceptOn)
-	n.listener.Close()
-	for within := leaveWithin(n.cfg.Settings); time.Since(begun) < within; time.Sleep(20 * time.Millisecond) {
-		left := 0
+	pass := n.cfg.Settings.PassThrough
+	d := life.Departure{PassThrough: pass, Within: life.StayWithin(longestDeadline(n.cfg.Settings))}
+	for begun := time.Now(); ; time.Sleep(leaveLook) {
+		var order life.Order
 		n.loop.Call(func() {
-			if left = n.core.Owed(); n.cfg.Settings.PassThrough {
-				left += n.core.Standing()
+			if d, order = d.Step(time.Since(begun), n.core.Owed(), n.core.Standing()); order == life.SendAway {
+				n.core.Leave(pass)
 			}
 		})
-		if left == 0 {
-			break
+		switch order {
+		case life.CloseDoor:
+			n.listener.Close()
+		case life.SendAway:
+			n.loop.Stop()
+			return
 		}
 	}
-	if !n.cfg.Settings.PassThrough {
-		n.loop.Call(n.core.MoveAll)
-	}
-	n.loop.Stop()
 }
 
-// leaveWithin is how long after SIGTERM the node may stay: the longest deadline, counted as 3 s where it is longer,
-// and 0.6 s. It is killed 0.1 s later at the earliest.
-func leaveWithin(set balance.Settings) time.Duration {
-	longest := time.Duration(0)
+func longestDeadline(set balance.Settings) (longest time.Duration) {
 	for _, c := range set.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	return min(longest, 3*time.Second) + 600*time.Millisecond
+	return longest
 }
 
 // clock adapts the loop for the core.
-type clock struct{ loop *evloop.Loop }
+type clock struct {
+	loop *evloop.Loop
+	core *query.Core
+}
 
-func (c clock) Now() time.Duration { return c.loop.Now() }
-func (c clock) After(d time.Duration, f func()) (stop func()) {
-	return c.loop.After(d, f).Stop
+func (c *clock) Now() time.Duration { return c.loop.Now() }
+func (c *clock) After(d time.Duration, due query.Due) query.Timer {
+	return c.loop.After(d, func() { c.core.Fire(due) })
 }
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -66,7 +66,7 @@
 // Accept gives a connection its handler. Until it has a query, it is the first to go when there are too many.
 func (d *Door) Accept(link *evloop.Link) evloop.Handler {
 	c := &Client{door: d, link: link}
-	c.late = d.loop.After(firstWithin, func() { c.reject(errLate) })
+	c.late = d.loop.After(firstWithin, func() { c.Reject(errLate) })
 	link.Spare(true)
 	return c
 }
@@ -127,8 +127,7 @@
 	case c.up:
 		c.pass()
 	case c.query != nil:
-		c.reject(errEager)
-		c.query.ClientGone(true)
+		c.query.ClientFaulty(errEager)
 	default:
 		c.first()
 	}
@@ -141,10 +140,10 @@
 	text, n, err := line.Next(data)
 	switch {
 	case err != nil:
-		c.reject(err)
+		c.Reject(err)
 	case n == 0:
 	case n < len(data):
-		c.reject(errEager)
+		c.Reject(errEager)
 	case string(text) == "PING":
 		c.link.Discard(n)
 		c.link.Write([]byte("PONG\r\n"))
@@ -154,7 +153,7 @@
 			err = c.door.check(open)
 		}
 		if err != nil {
-			c.reject(err)
+			c.Reject(err)
 			return
 		}
 		c.link.Discard(n)
@@ -191,13 +190,12 @@
 	}
 	if err != nil && !c.over {
 		c.door.note(err)
-		c.Move() // its host still answers: it is not merely cut off
-		c.query.ClientGone(true)
+		c.query.ClientFaulty(err) // its host still answers: it is moved, not merely cut off
 	}
 }
 
-// reject answers a client that cannot be served.
-func (c *Client) reject(err error) {
+// Reject implements query.Client: it answers a client that cannot be served.
+func (c *Client) Reject(err error) {
 	c.door.note(err)
 	c.finish([]byte("ERR " + err.Error() + "\r\n"))
 }
@@ -238,6 +236,9 @@
 	c.link.Write(answer)
 }
 
+// Served implements query.Client.
+func (c *Client) Served(answer []byte) { c.finish(answer) }
+
 // Pass implements query.Client.
 func (c *Client) Pass(lines []byte) { c.link.Write(lines) }
 
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -26,10 +26,11 @@
 	el     gnet.EventLoop
 	base   time.Time // now counts from here, on the monotonic clock
 
-	timers timerHeap
-	alarm  *time.Timer
-	dialer *dialer
-	stop   sync.Once
+	timers   timerHeap
+	timerSeq uint64
+	alarm    *time.Timer
+	dialer   *dialer
+	stop     sync.Once
 
 	limits  Limits
 	links   int       // open connections and dials under way
--- a/internal/evloop/timer.go
+++ b/internal/evloop/timer.go
@@ -9,6 +9,7 @@
 type Timer struct {
 	loop *Loop
 	at   time.Duration
+	seq  uint64 // of two that are due at once, the one set first comes first
 	run  func()
 	pos  int // in the heap, or -1
 }
@@ -16,7 +17,8 @@
 // After runs f on the loop after d. gnet's own ticker runs beside the loop and at a fixed pace; here one
 // system timer, set to the earliest of all, hops onto the loop.
 func (l *Loop) After(d time.Duration, f func()) *Timer {
-	t := &Timer{loop: l, at: l.Now() + max(d, 0), run: f}
+	t := &Timer{loop: l, at: l.Now() + max(d, 0), seq: l.timerSeq, run: f}
+	l.timerSeq++
 	heap.Push(&l.timers, t)
 	if t.pos == 0 {
 		l.setAlarm()
@@ -53,8 +55,10 @@
 
 type timerHeap []*Timer
 
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
 func (h timerHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].pos, h[j].pos = i, j
--- /dev/null
+++ b/internal/life/departure.go
@@ -0,0 +1,63 @@
+package life
+
+import "time"
+
+const (
+	// AcceptOn is how long a node goes on accepting after SIGTERM: the front sends new connections for up to 0.4 s
+	// more (PROTOCOL, Figures).
+	AcceptOn = 500 * time.Millisecond
+	// longestCounted is the deadline that is counted where one is longer (PROTOCOL, Figures).
+	longestCounted = 3 * time.Second
+	// beyondDeadline is how much longer than that deadline a node may stay. It is killed 0.1 s later at the earliest.
+	beyondDeadline = 600 * time.Millisecond
+)
+
+// Order is what a leaving node does next.
+type Order uint8
+
+// The orders.
+const (
+	Stay      Order = iota // look again in a moment
+	CloseDoor              // accept no more
+	SendAway               // answer what is owed, move what stands unless packets pass through, and stop
+)
+
+var orderNames = [...]string{"stay", "close-door", "send-away"}
+
+func (o Order) String() string { return orderNames[o] }
+
+// Departure is the way of a node from SIGTERM to its end. Where packets pass through, it carries open connections until
+// the front has taken them to another node, or for as long as it may stay: with no other node there, they would stand
+// still until this one is back.
+type Departure struct {
+	PassThrough bool
+	Within      time.Duration // from SIGTERM; see StayWithin
+	closed      bool
+	gone        bool
+}
+
+// StayWithin is how long after SIGTERM a node may stay that serves classes of such a longest deadline.
+func StayWithin(longest time.Duration) time.Duration {
+	return min(longest, longestCounted) + beyondDeadline
+}
+
+// Step says what to do a time after SIGTERM, when so many queries are owed an answer and so many connections stand.
+// Each order other than Stay is given once, in the order of the list above.
+func (d Departure) Step(after time.Duration, owed, standing int) (Departure, Order) {
+	left := owed
+	if d.PassThrough {
+		left += standing
+	}
+	switch {
+	case d.gone:
+	case !d.closed:
+		if after >= AcceptOn {
+			d.closed = true
+			return d, CloseDoor
+		}
+	case left == 0 || after >= d.Within:
+		d.gone = true
+		return d, SendAway
+	}
+	return d, Stay
+}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -1,6 +1,8 @@
-// Package query holds the queries of clients from their arrival to their one final answer. It brings what
-// happens to the balancer as events and carries the balancer's actions out. It knows neither sockets nor the
-// platform's lines: clients, servers and the host group reach it, and are reached, through the interfaces here.
+// Package query holds the queries of clients from their arrival to their one final answer. It brings what happens to
+// the balancer as events and carries the balancer's actions out. What each event means for a query is decided by the
+// state machine of package life; this package keeps the data beside each state and carries the effects out. It knows
+// neither sockets nor the platform's lines: clients, servers and the host group reach it, and are reached, through
+// the interfaces here.
 package query
 
 import (
@@ -8,26 +10,31 @@
 	"time"
 
 	"lichenhitch/balance"
+	"lichenhitch/internal/life"
 )
 
 // Client is the client's side of a query.
 type Client interface {
 	// Up passes on the host's word that the connection stands.
 	Up(answer []byte)
+	// Served passes on the host's word that it has served the query to its end at once, and closes.
+	Served(answer []byte)
 	// Pass hands lines of the host on.
 	Pass(lines []byte)
 	// Throttle refuses: trying again is harmless, after a time if one is given.
 	Throttle(after time.Duration)
 	// Fail answers that the query was not served.
 	Fail()
+	// Reject answers that the client cannot be served as it speaks.
+	Reject(reason error)
 	// Move ends an open connection politely.
 	Move()
 	// End ends the connection as the host did: in good order or broken.
 	End(clean bool)
 }
 
-// Attempt is the server's side of a query: one try at one host. It calls the query back until it has told its
-// end or is closed.
+// Attempt is the connection to a host that a try was given. It calls the try back until it has told its end or is
+// closed. What it calls back later is without effect.
 type Attempt interface {
 	// Pass hands lines of the client on.
 	Pass(lines []byte)
@@ -37,8 +44,9 @@
 
 // Servers makes attempts and probes.
 type Servers interface {
-	// Attempt sends a query to a server that is to answer within a time.
-	Attempt(q *Query, server balance.ServerID, within time.Duration) Attempt
+	// Attempt sends a query to a server that is to answer within a time. It does not call the try back before it has
+	// returned.
+	Attempt(t Try, server balance.ServerID, within time.Duration) Attempt
 	// Probe asks a server for its report; the outcome comes by Core.Probed.
 	Probe(server balance.ServerID)
 }
@@ -46,52 +54,113 @@
 // Group is the host group, whose changes come by Core.List.
 type Group interface{ Subscribe() }
 
-// Clock tells the time and wakes.
+// Clock tells the time, which is never 0, and wakes.
 type Clock interface {
 	Now() time.Duration
-	After(d time.Duration, f func()) (stop func())
+	// After calls Core.Fire after a time. Of two calls that are due at once, the one asked for first comes first.
+	After(d time.Duration, due Due) Timer
 }
 
+// Timer is a call to come.
+type Timer interface{ Stop() }
+
+// Due says what a timer is for. It is plain data, so that a core's whole state can be read and compared.
+type Due struct {
+	Kind    DueKind
+	Request balance.RequestID // of DueGuard, DueAttempt and DueRetry
+	Token   uint64            // of DueWake
+}
+
+// DueKind is a kind of timers.
+type DueKind uint8
+
+// The kinds of timers.
 const (
-	// answerMargin is how long before a client's time is up its answer is sent: time to travel and to be read.
+	DueWake    DueKind = iota // the balancer asked to be woken
+	DueSweep                  // time to look for silent hosts
+	DueGuard                  // a client's time is nearly up
+	DueAttempt                // an attempt's time is over
+	DueRetry                  // the pause of an inherited connection is over
+)
+
+// Decider decides on servers, retries and refusals; see balance.Balancer.
+type Decider interface {
+	Handle(now time.Duration, ev balance.Event) []balance.Action
+}
+
+// Rule is the state machine of a query's life; see life.Step.
+type Rule func(life.State, life.Event) (life.State, life.Effects)
+
+const (
+	// answerMargin is how long before a client's time is up its answer is due: time to travel and to be read.
 	answerMargin = 10 * time.Millisecond
+	// guardAfter is how long after that the guard answers what the balancer holds too long. It must leave the balancer
+	// its turn: the last attempt may run until the answer is due, and only the balancer knows whether a refusal is
+	// harmless then.
+	guardAfter = answerMargin / 2
 	// inheritedRetry is the pause between the tries at the host that holds an inherited connection.
 	inheritedRetry = 250 * time.Millisecond
 	// inheritedWait is how long an inherited connection may take to come up. It is lost after 40 s anyway.
 	inheritedWait = 40 * time.Second
-	// silentAfter is how long a client's line may stay unanswered, with nothing else heard from its host since,
-	// before the host counts as silent. A sound host sends a line back at once; a few lost packets stay below.
-	silentAfter = time.Second
-	// stuckAfter is the same for one connection whose host is heard on others.
-	stuckAfter = 4 * time.Second
-	sweepEvery = 100 * time.Millisecond
+	sweepEvery    = 100 * time.Millisecond
+	// usualGrace is how long after a drain was told new work must stop, where the settings do not say.
+	usualGrace = 2 * time.Second
+	// graceMargin is how long before that nothing more is written: the writing takes a moment.
+	graceMargin = 50 * time.Millisecond
+	// comeBack is when a client may come again that no decision was made for: the balancer held it too long, or the
+	// node stops. It is shorter where clients heed only shorter advice.
+	comeBack = time.Second
 )
 
 // Core holds all queries and the balancer that decides on them. It is for the event loop only.
 type Core struct {
 	log      *slog.Logger
 	clock    Clock
-	balancer *balance.Balancer
+	balancer Decider
+	rule     Rule
 	servers  Servers
 	group    Group
+	grace    time.Duration // how long after a drain was told something may still be written
+	comeBack time.Duration // the advice to those who are turned away without a decision
 	queries  map[balance.RequestID]*Query
 	last     balance.RequestID
 	events   []balance.Event // that the balancer has not taken yet
 	busy     bool
 	heard    map[balance.ServerID]time.Duration // when a line last came from a host with open connections
-	owed     int                                // queries without a final answer
+	told     map[balance.ServerID]listed
+	owed     int // queries without a final answer
 }
 
-// New returns a core. Connect must follow.
+// listed is what discovery has told of a host.
+type listed struct {
+	here    bool          // it is in the list, in whatever state
+	ready   bool          // it takes new work
+	since   time.Duration // when it was first told that it takes none
+	started time.Duration // its start
+}
+
+// New returns a core that decides by balance and lives by life.Step. Connect must follow.
 func New(log *slog.Logger, clock Clock, set balance.Settings, seed uint64) *Core {
-	return &Core{log: log, clock: clock, balancer: balance.New(set, seed),
-		queries: make(map[balance.RequestID]*Query), heard: make(map[balance.ServerID]time.Duration)}
+	return Build(log, clock, set, balance.New(set, seed), life.Step)
+}
+
+// Build returns a core with a decider and a rule of one's own, for rehearsals. Connect must follow.
+func Build(log *slog.Logger, clock Clock, set balance.Settings, decider Decider, rule Rule) *Core {
+	c := &Core{log: log, clock: clock, balancer: decider, rule: rule, grace: set.Safety.DrainGrace,
+		queries: make(map[balance.RequestID]*Query), heard: make(map[balance.ServerID]time.Duration),
+		told: make(map[balance.ServerID]listed)}
+	if c.grace <= 0 {
+		c.grace = usualGrace
+	}
+	c.grace -= graceMargin
+	c.comeBack = min(comeBack, set.MaxRetryAfter)
+	return c
 }
 
 // Connect gives the core its servers and its host group, and starts it.
 func (c *Core) Connect(servers Servers, group Group) {
 	c.servers, c.group = servers, group
-	c.clock.After(sweepEvery, c.sweep)
+	c.clock.After(sweepEvery, Due{Kind: DueSweep})
 }
 
 // Owed returns how many queries wait for their final answer.
@@ -101,7 +170,7 @@
 func (c *Core) Standing() int {
 	n := 0
 	for _, q := range c.queries {
-		if q.state == up {
+		if q.state.Phase == life.Up {
 			n++
 		}
 	}
@@ -110,14 +179,75 @@
 
 // List brings news of the host group.
 func (c *Core) List(kind balance.ListKind, entries []balance.Listing) {
+	if kind != balance.ListFailed {
+		c.learn(kind, entries)
+	}
 	c.feed(balance.ServerList{Kind: kind, Entries: entries})
 }
 
+// learn takes note of which hosts may not be sent anything soon.
+func (c *Core) learn(kind balance.ListKind, entries []balance.Listing) {
+	now := c.clock.Now()
+	if kind != balance.ListChanges {
+		missing := make(map[balance.ServerID]bool, len(c.told))
+		for server := range c.told {
+			missing[server] = true
+		}
+		for _, e := range entries {
+			delete(missing, e.Server)
+		}
+		for server := range missing {
+			c.hear(balance.Listing{Server: server, State: balance.Gone}, now)
+		}
+	}
+	for _, e := range entries {
+		c.hear(e, now)
+	}
+	for server, l := range c.told { // one that has left for so long is not going to be asked for any more
+		if !l.here && now-l.since > inheritedWait {
+			delete(c.told, server)
+		}
+	}
+}
+
+// hear takes note of one entry of the list.
+func (c *Core) hear(e balance.Listing, now time.Duration) {
+	last, known := c.told[e.Server]
+	l := listed{here: e.State != balance.Gone, ready: e.State == balance.Ready, since: now, started: e.Started}
+	if !l.here {
+		l.started = last.started
+	}
+	if known && !last.ready && !l.ready && last.started == l.started {
+		l.since = last.since // still the same drain
+	}
+	c.told[e.Server] = l
+}
+
+// drained says whether nothing may be sent to a host any more.
+func (c *Core) drained(server balance.ServerID) bool {
+	l, known := c.told[server]
+	return known && !l.ready && c.clock.Now()-l.since >= c.grace
+}
+
 // Probed brings the outcome of a probe.
 func (c *Core) Probed(server balance.ServerID, o balance.Outcome, took time.Duration, rep balance.Report) {
 	c.feed(balance.Probed{Server: server, Outcome: o, Took: took, Report: rep})
 }
 
+// Fire brings a timer that came due.
+func (c *Core) Fire(d Due) {
+	switch d.Kind {
+	case DueWake:
+		c.feed(balance.Woken{Token: d.Token})
+	case DueSweep:
+		c.sweep()
+	default:
+		if q := c.queries[d.Request]; q != nil {
+			q.wake(d.Kind)
+		}
+	}
+}
+
 // feed brings an event to the balancer and carries out what it answers. Events that come up on the way wait
 // their turn, so that the balancer sees them in order and actions are carried out in order.
 func (c *Core) feed(ev balance.Event) {
@@ -126,37 +256,37 @@
 		return
 	}
 	c.busy = true
-	for len(c.events) > 0 {
-		ev := c.events[0]
-		c.events = c.events[1:]
+	for i := 0; i < len(c.events); i++ {
+		ev := c.events[i]
+		c.events[i] = nil
 		for _, a := range c.balancer.Handle(c.clock.Now(), ev) {
 			c.carryOut(a)
 		}
 	}
-	c.events = nil
+	c.events = c.events[:0]
 	c.busy = false
 }
 
 func (c *Core) carryOut(a balance.Action) {
 	switch a := a.(type) {
 	case balance.Place:
-		c.queries[a.Request].place(c, a)
+		if q := c.find(a.Request, a); q != nil {
+			q.step(life.Event{Kind: life.Place}, &news{server: a.Server, within: a.Timeout})
+		}
 	case balance.Refuse:
-		if q := c.queries[a.Request]; q.answer() {
-			q.client.Throttle(a.RetryAfter)
-			q.forget()
+		if q := c.find(a.Request, a); q != nil {
+			q.step(life.Event{Kind: life.Refuse}, &news{after: a.RetryAfter})
 		}
 	case balance.Fail:
-		if q := c.queries[a.Request]; q.answer() {
-			q.client.Fail()
-			q.forget()
+		if q := c.find(a.Request, a); q != nil {
+			q.step(life.Event{Kind: life.GiveUp}, &news{})
 		}
 	case balance.Move:
-		if q := c.queries[a.Request]; q != nil && q.state == up {
-			q.move(balance.Cancelled)
+		if q := c.queries[a.Request]; q != nil {
+			q.step(life.Event{Kind: life.Move}, &news{outcome: balance.Cancelled})
 		}
 	case balance.Wake:
-		c.clock.After(a.After, func() { c.feed(balance.Woken{Token: a.Token}) })
+		c.clock.After(a.After, Due{Kind: DueWake, Token: a.Token})
 	case balance.Probe:
 		c.servers.Probe(a.Server)
 	case balance.Subscribe:
@@ -166,31 +296,41 @@
 	}
 }
 
-type state int
-
-const (
-	waiting state = iota // no attempt is out
-	trying               // an attempt is out
-	up                   // served by a host
-	over                 // answered, ended or left by its client
-)
+// find returns the query that an action is for.
+func (c *Core) find(id balance.RequestID, a balance.Action) *Query {
+	q := c.queries[id]
+	if q == nil {
+		c.log.Warn("the balancer decided on a query that is over", "request", id, "action", a)
+	}
+	return q
+}
 
 // Query is one query of a client.
 type Query struct {
-	core     *Core
-	client   Client
-	arrival  balance.Arrival
-	at       balance.ServerID // the host of an inherited connection
-	state    state
-	answered bool
-	deadline time.Duration // when an answer is too late
-	server   balance.ServerID
-	attempt  Attempt
-	tries    int // attempts made
-	sentAt   time.Duration
-	stop     func()        // of the attempt's time-out, or of the next try of an inherited one
-	guard    func()        // of the deadline
-	askedAt  time.Duration // of the oldest line of the client that nothing came back for; 0: none
+	core    *Core
+	client  Client
+	arrival balance.Arrival
+	at      balance.ServerID // the host of an inherited connection
+	state   life.State
+	until   time.Duration // when its answer is due
+	server  balance.ServerID
+	attempt Attempt
+	sentAt  time.Duration
+	watch   life.Watch
+	guard   Timer // of the deadline
+	timer   Timer // of the attempt's time-out, or of the pause before the next
+}
+
+// news is what came with an event: as much of it as the event's kind has.
+type news struct {
+	outcome balance.Outcome // how the attempt that is out ended, if the event ends it
+	report  balance.Report
+	clean   bool             // a connection ended in good order
+	word    []byte           // what the host answered
+	reason  error            // what is wrong with the client
+	server  balance.ServerID // where the balancer wants an attempt, and for how long at most
+	within  time.Duration
+	after   time.Duration // the balancer's advice when to come again
 }
 
 // Arrive takes a client's query. The client waits for d; a query with a server belongs to a connection that
@@ -199,21 +339,15 @@
 	c.last++
 	a.Request = c.last
 	a.TimeLeft = max(d-answerMargin, 0)
-	q := &Query{core: c, client: client, arrival: a, at: at}
+	e := life.Event{Kind: life.Arrive}
 	if at != "" {
 		a.TimeLeft = inheritedWait
+		e.Kind = life.ArriveAt
 	}
-	q.deadline = c.clock.Now() + a.TimeLeft
+	q := &Query{core: c, client: client, arrival: a, at: at, until: c.clock.Now() + a.TimeLeft}
 	c.queries[a.Request] = q
 	c.owed++
-	// The balancer answers by its own timers. The guard covers what it may hold too long.
-	q.guard = c.clock.After(a.TimeLeft, q.overdue)
-	if at != "" {
-		q.inherit()
-		return q
-	}
-	q.arrival = a
-	c.feed(a)
+	q.step(e, &news{})
 	return q
 }
 
@@ -221,227 +355,231 @@
 func (q *Query) Client() Client { return q.client }
 
 // Left returns how much longer the client of a query waits.
-func (q *Query) Left() time.Duration { return q.deadline - q.core.clock.Now() }
-
-// answer notes the final answer, of which there is one. It says whether it is still to be given.
-func (q *Query) answer() bool {
-	if q == nil || q.answered {
-		return false
+func (q *Query) Left() time.Duration { return q.until - q.core.clock.Now() }
+
+// State returns where the query stands.
+func (q *Query) State() life.State { return q.state }
+
+// step brings an event to the state machine and carries out what it answers. The balancer, which may answer with a
+// further step of the same query, is told last.
+func (q *Query) step(e life.Event, d *news) {
+	owed := q.state.Owed()
+	next, todo := q.core.rule(q.state, e)
+	q.state = next
+	if owed && !next.Owed() {
+		q.core.owed--
 	}
-	q.answered = true
-	q.core.owed--
-	q.guard()
-	return true
-}
-
-// forget ends a query.
-func (q *Query) forget() {
-	q.state = over
-	if q.stop != nil {
-		q.stop()
+	for i := range todo.Len() {
+		q.carryOut(todo.At(i), e.Kind, d)
 	}
-	delete(q.core.queries, q.arrival.Request)
 }
 
-func (q *Query) overdue() {
-	if q.state == over || !q.answer() {
-		return
+func (q *Query) carryOut(f life.Effect, k life.Kind, d *news) {
+	c := q.core
+	switch f {
+	case life.Guard:
+		q.guard = c.clock.After(q.Left()+guardAfter, Due{Kind: DueGuard, Request: q.arrival.Request})
+	case life.Unguard:
+		q.guard.Stop()
+	case life.Send:
+		q.send(d)
+	case life.Unwatch:
+		q.timer.Stop()
+	case life.Pause:
+		q.timer = c.clock.After(inheritedRetry, Due{Kind: DueRetry, Request: q.arrival.Request})
+	case life.CloseAttempt:
+		q.attempt.End(true)
+	case life.EndAttempt:
+		q.attempt.End(d.clean)
+	case life.AnswerUp:
+		q.client.Up(d.word)
+	case life.AnswerServed:
+		q.client.Served(d.word)
+	case life.AnswerThrottle:
+		q.client.Throttle(d.after)
+	case life.AnswerFail:
+		q.client.Fail()
+	case life.AnswerError:
+		q.client.Reject(d.reason)
+	case life.MoveClient:
+		q.client.Move()
+	case life.EndClient:
+		q.client.End(d.clean)
+	case life.Forget:
+		delete(c.queries, q.arrival.Request)
+	case life.Complain:
+		c.log.Warn("an event without a place in a query's life", "event", k.String(), "phase", q.state.Phase.String(),
+			"attempts", q.state.Attempts)
+	default:
+		q.tell(f, d)
+	}
+	if f.Answers() && k == life.Deadline {
+		c.log.Warn("a query was overdue", "class", q.arrival.Class, "attempts", q.state.Attempts)
 	}
-	q.core.log.Warn("a query was overdue", "class", q.arrival.Class, "attempts", q.tries)
-	q.client.Fail() // not a throttle: an attempt may have run
-	q.core.feed(balance.Departed{Request: q.arrival.Request})
-	q.withdraw(balance.TimedOut)
-	q.forget()
 }
 
-// withdraw closes the attempt that is out and tells its end.
-func (q *Query) withdraw(o balance.Outcome) {
-	if q.state != trying && q.state != up {
-		return
+// tell brings what the balancer is to know.
+func (q *Query) tell(f life.Effect, d *news) {
+	c, id := q.core, q.arrival.Request
+	switch f {
+	case life.TellArrival:
+		c.feed(q.arrival)
+	case life.TellInherited:
+		c.feed(balance.Inherited{Arrival: q.arrival, Server: q.at})
+	case life.TellEstablished:
+		c.feed(balance.Established{Request: id, Attempt: q.number(), Took: c.clock.Now() - q.sentAt})
+	case life.TellDeparted:
+		c.feed(balance.Departed{Request: id})
+	case life.TellEnded, life.TellOver:
+		c.feed(balance.Ended{Request: id, Attempt: q.number(), Outcome: d.outcome, Took: c.clock.Now() - q.sentAt,
+			Final: f == life.TellOver, Report: d.report})
 	}
-	q.stop()
-	q.attempt.End(true)
-	q.ended(o, balance.Report{}, true)
 }
 
-// ended tells the balancer how the attempt that was out ended.
-func (q *Query) ended(o balance.Outcome, rep balance.Report, final bool) {
-	if q.at != "" && q.state != up {
-		return // the balancer has not heard of it
+// number is the number of the attempt that is out, as the balancer counts: for it, an inherited connection has one
+// attempt, however many tries it took to stand.
+func (q *Query) number() int {
+	if q.state.Inherited {
+		return 0
 	}
-	q.core.feed(balance.Ended{Request: q.arrival.Request, Attempt: q.tries - 1, Outcome: o,
-		Took: q.core.clock.Now() - q.sentAt, Final: final, Report: rep})
+	return int(q.state.Attempts) - 1
 }
 
-// place makes an attempt. No other is out: the balancer places anew only when the last has ended, and what
-// ended was closed first.
-func (q *Query) place(c *Core, a balance.Place) {
-	if q == nil || q.answered || q.state != waiting {
-		c.log.Warn("an attempt for a query that takes none", "request", a.Request)
-		if q == nil {
-			c.feed(balance.Ended{Request: a.Request, Outcome: balance.Unsent, Final: true})
-		}
-		return
+// send makes an attempt. No other is out: the balancer places anew only when the last has ended, and what ended was
+// closed first.
+func (q *Query) send(d *news) {
+	server, within := q.at, q.Left()
+	if q.at == "" {
+		server, within = d.server, min(d.within, within)
+	}
+	q.server, q.sentAt = server, q.core.clock.Now()
+	q.timer = q.core.clock.After(within, Due{Kind: DueAttempt, Request: q.arrival.Request})
+	q.attempt = q.core.servers.Attempt(Try{q, q.state.Attempts}, server, within)
+}
+
+// wake takes a timer of the query's own that came due.
+func (q *Query) wake(k DueKind) {
+	switch k {
+	case DueGuard:
+		q.step(life.Event{Kind: life.Deadline}, &news{outcome: balance.TimedOut, after: q.core.comeBack})
+	case DueAttempt:
+		q.step(life.Event{Kind: life.AttemptLate, Attempt: q.state.Attempts}, &news{outcome: balance.TimedOut})
+	case DueRetry:
+		q.step(life.Event{Kind: life.Retry}, &news{})
 	}
-	q.send(a.Server, min(a.Timeout, q.Left()))
 }
 
-func (q *Query) send(server balance.ServerID, within time.Duration) {
-	q.state = trying
-	q.server = server
-	q.tries++
-	q.sentAt = q.core.clock.Now()
-	q.stop = q.core.clock.After(within, func() {
-		q.attempt.End(true)
-		q.HostEnded(balance.TimedOut, true, balance.Report{})
-	})
-	q.attempt = q.core.servers.Attempt(q, server, within)
+// Try is one attempt of a query, as its server link knows it. What is told of a try that is over has no effect.
+type Try struct {
+	query  *Query
+	number uint16
 }
 
-// inherit goes to the host that holds the connection.
-func (q *Query) inherit() { q.send(q.at, q.Left()) }
+// Client returns the client's side of the try's query.
+func (t Try) Client() Client { return t.query.client }
 
-// HostUp says that the connection stands, with the host's own word for the client.
-func (q *Query) HostUp(answer []byte) {
-	if q.state != trying || !q.answer() {
-		return
-	}
-	q.stop()
-	q.state = up
-	if q.at != "" {
-		q.tries = 1
-		q.core.feed(balance.Inherited{Arrival: q.arrival, Server: q.at})
-	} else {
-		q.core.feed(balance.Established{Request: q.arrival.Request, Attempt: q.tries - 1,
-			Took: q.core.clock.Now() - q.sentAt})
+func (t Try) step(k life.Kind, d *news) { t.query.step(life.Event{Kind: k, Attempt: t.number}, d) }
+
+// stands says whether the try is the one that stands.
+func (t Try) stands() bool {
+	return t.query.state.Phase == life.Up && t.query.state.Attempts == t.number
+}
+
+// Open asks, just before the first line is written, whether the host may still be sent anything. Where not, the try is
+// over when Open returns.
+func (t Try) Open() bool {
+	if t.query.core.drained(t.query.server) {
+		t.step(life.HostDrained, &news{outcome: balance.Unsent})
+		return false
 	}
-	q.client.Up(answer)
+	return true
 }
 
-// HostLines passes lines of the host on.
-func (q *Query) HostLines(lines []byte) {
-	if q.state == up {
-		q.askedAt = 0
+// Up says that the connection stands, with the host's own word for the client.
+func (t Try) Up(word []byte) { t.step(life.HostUp, &news{word: word}) }
+
+// Lines passes lines of the host on.
+func (t Try) Lines(lines []byte) {
+	if t.stands() {
+		q := t.query
+		q.watch.Hear()
 		q.core.heard[q.server] = q.core.clock.Now()
 		q.client.Pass(lines)
 	}
 }
 
-// HostLoad tells the load of the connection, in microseconds of work a second.
-func (q *Query) HostLoad(load float64) {
-	if q.state == up {
-		q.core.feed(balance.LoadChanged{Request: q.arrival.Request, Load: load})
+// Load tells the load of the connection, in microseconds of work a second.
+func (t Try) Load(load float64) {
+	if t.stands() {
+		t.query.core.feed(balance.LoadChanged{Request: t.query.arrival.Request, Load: load})
 	}
 }
 
-// HostEnded says that the host ended the attempt, or that it never came up. An attempt ends once.
-func (q *Query) HostEnded(o balance.Outcome, clean bool, rep balance.Report) {
-	switch q.state {
-	case up:
-		q.client.End(clean)
-		q.ended(o, rep, true)
-		q.forget()
-	case trying:
-		q.stop()
-		if o == balance.OK && q.answer() { // served to its end at once
-			q.client.End(clean)
-			q.ended(o, rep, true)
-			q.forget()
-			return
-		}
-		q.state = waiting
-		if q.at != "" {
-			q.stop = q.core.clock.After(inheritedRetry, q.inherit)
-			return
-		}
-		q.ended(o, rep, false)
+// Ended says that the host ended the try, or that it never came up; word is what it said last, where that is for the
+// client.
+func (t Try) Ended(o balance.Outcome, clean bool, rep balance.Report, word []byte) {
+	k := life.HostEnded
+	if o == balance.OK {
+		k = life.HostServed
 	}
+	t.step(k, &news{outcome: o, clean: clean, report: rep, word: word})
 }
 
-// HostFaulty says that the host sent what cannot be passed on. The host still answers, so that a client that was
-// served is moved, not cut off.
-func (q *Query) HostFaulty() {
-	if q.state == up {
-		q.move(balance.Errored)
-		return
-	}
-	q.attempt.End(true)
-	q.HostEnded(balance.Errored, true, balance.Report{})
-}
+// Faulty says that the host sent what cannot be passed on. The host still answers, so that a client that was served is
+// moved, not cut off.
+func (t Try) Faulty() { t.step(life.HostFaulty, &news{outcome: balance.Errored}) }
 
-// HostBehind says that the host does not take what the client sends, at the speed at which it is sent. The host may
-// be sound and still answer: the client is moved, and nothing is held against the host.
-func (q *Query) HostBehind() {
-	if q.state == up {
-		q.move(balance.Cancelled)
-	}
-}
+// Behind says that the host does not take what the client sends, at the speed at which it is sent. The host may be
+// sound and still answer: the client is moved, and nothing is held against the host.
+func (t Try) Behind() { t.step(life.HostBehind, &news{outcome: balance.Cancelled}) }
 
 // ClientLines passes lines of the client on.
 func (q *Query) ClientLines(lines []byte) {
-	if q.state != up {
-		return
+	if q.state.Phase == life.Up {
+		q.watch.Ask(q.core.clock.Now())
+		q.attempt.Pass(lines)
 	}
-	if q.askedAt == 0 {
-		q.askedAt = q.core.clock.Now()
-	}
-	q.attempt.Pass(lines)
 }
 
 // ClientGone says that the client has left.
 func (q *Query) ClientGone(clean bool) {
-	switch q.state {
-	case over:
-		return
-	case up:
-		q.attempt.End(clean)
-		q.ended(balance.Cancelled, balance.Report{}, true)
-	default:
-		q.answer()
-		if q.at == "" {
-			q.core.feed(balance.Departed{Request: q.arrival.Request})
-		}
-		q.withdraw(balance.Cancelled)
-	}
-	q.forget()
+	q.step(life.Event{Kind: life.ClientGone}, &news{outcome: balance.Cancelled, clean: clean})
 }
 
-// move sends the client away politely.
-func (q *Query) move(o balance.Outcome) {
-	q.client.Move()
-	q.attempt.End(true)
-	q.ended(o, balance.Report{}, true)
-	q.forget()
+// ClientFaulty says that the client spoke out of turn or sent what cannot be passed on. One that waits is told why it
+// is not served; one that is served is moved.
+func (q *Query) ClientFaulty(reason error) {
+	q.step(life.Event{Kind: life.ClientFaulty}, &news{outcome: balance.Cancelled, reason: reason})
 }
 
-// MoveAll moves the clients of all open connections.
-func (c *Core) MoveAll() {
+// Leave ends everything, since the node stops: whoever waits gets an answer, and the clients of open connections are
+// moved, unless packets pass through and carry these connections over.
+func (c *Core) Leave(passThrough bool) {
 	for _, q := range c.queries {
-		if q.state == up {
-			q.move(balance.Cancelled)
+		if q.state.Owed() || !passThrough {
+			q.step(life.Event{Kind: life.Leave}, &news{outcome: balance.Cancelled, after: c.comeBack})
 		}
 	}
 }
 
 // sweep moves the clients whose host has fallen silent. It guards against a host that vanished: its connections
-// stay open, and nothing but the missing lines tells. One line that stays unanswered while nothing at all comes
-// from the host speaks for all connections there: the others need not wait for lines of their own.
+// stay open, and nothing but the missing lines tells.
 func (c *Core) sweep() {
-	c.clock.After(sweepEvery, c.sweep)
+	c.clock.After(sweepEvery, Due{Kind: DueSweep})
 	now := c.clock.Now()
 	silent, held := make(map[balance.ServerID]bool), make(map[balance.ServerID]bool)
 	for _, q := range c.queries {
-		if q.state != up {
+		if q.state.Phase != life.Up {
 			continue
 		}
 		held[q.server] = true
-		if q.askedAt > 0 && now-q.askedAt >= silentAfter && c.heard[q.server] < q.askedAt {
+		if q.watch.HostSilent(c.heard[q.server], now) {
 			silent[q.server] = true
 		}
 	}
 	for _, q := range c.queries {
-		if q.state == up && (silent[q.server] || q.askedAt > 0 && now-q.askedAt >= stuckAfter) {
-			q.move(balance.Reset)
+		if q.state.Phase == life.Up && (silent[q.server] || q.watch.Stuck(now)) {
+			q.step(life.Event{Kind: life.Move}, &news{outcome: balance.Reset})
 		}
 	}
 	for server := range silent {
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -16,21 +16,26 @@
 type world struct {
 	now     time.Duration
 	timers  []*timer
-	out     []*Query // attempts that are out
+	core    *Core
+	out     []Try // attempts that are out
+	last    Try
 	most    int
 	answers []string
 }
 
 type timer struct {
-	at time.Duration
-	f  func()
+	at  time.Duration
+	due Due
+	off bool
 }
 
+func (t *timer) Stop() { t.off = true }
+
 func (w *world) Now() time.Duration { return w.now }
-func (w *world) After(d time.Duration, f func()) (stop func()) {
-	t := &timer{w.now + d, f}
+func (w *world) After(d time.Duration, due Due) Timer {
+	t := &timer{at: w.now + d, due: due}
 	w.timers = append(w.timers, t)
-	return func() { t.f = func() {} }
+	return t
 }
 
 // pass lets time go by, timer by timer.
@@ -49,24 +54,26 @@
 		t := w.timers[i]
 		w.timers = slices.Delete(w.timers, i, i+1)
 		w.now = max(w.now, t.at)
-		t.f()
+		if !t.off {
+			w.core.Fire(t.due)
+		}
 	}
 }
 
 type attempt struct {
 	w *world
-	q *Query
+	t Try
 }
 
 func (a attempt) Pass([]byte) {}
 func (a attempt) End(bool) {
-	a.w.out = slices.DeleteFunc(a.w.out, func(q *Query) bool { return q == a.q })
+	a.w.out = slices.DeleteFunc(a.w.out, func(t Try) bool { return t == a.t })
 }
 
-func (w *world) Attempt(q *Query, _ balance.ServerID, _ time.Duration) Attempt {
-	w.out = append(w.out, q)
+func (w *world) Attempt(t Try, _ balance.ServerID, _ time.Duration) Attempt {
+	w.out, w.last = append(w.out, t), t
 	w.most = max(w.most, len(w.out))
-	return attempt{w, q}
+	return attempt{w, t}
 }
 func (w *world) Probe(balance.ServerID) {}
 func (w *world) Subscribe()             {}
@@ -75,6 +82,8 @@
 func (w *world) Pass([]byte)            {}
 func (w *world) Throttle(time.Duration) { w.answers = append(w.answers, "throttle") }
 func (w *world) Fail()                  { w.answers = append(w.answers, "fail") }
+func (w *world) Served([]byte)          { w.answers = append(w.answers, "served") }
+func (w *world) Reject(error)           { w.answers = append(w.answers, "error") }
 func (w *world) Move()                  { w.answers = append(w.answers, "move") }
 func (w *world) End(bool)               { w.answers = append(w.answers, "end") }
 
@@ -85,6 +94,7 @@
 	w := &world{now: time.Hour}
 	c := New(slog.New(slog.NewTextHandler(io.Discard, nil)), w, balance.Settings{MaxAttempts: 4, Tick: time.Millisecond,
 		Classes: []balance.Class{{Name: "chat", Aim: 300 * time.Millisecond}}}, seed)
+	w.core = c
 	c.Connect(w, w)
 	var entries []balance.Listing
 	for _, h := range hosts {
@@ -114,10 +124,10 @@
 	w.pass(2 * time.Second)
 	assert.Equal(t, 1, w.most, "attempts out at once")
 	assert.Empty(t, w.out)
-	assert.Greater(t, q.tries, 1)
+	assert.Greater(t, q.state.Attempts, uint16(1))
 	assert.Equal(t, []string{"throttle"}, w.answers)
-	q.HostUp(nil) // a word that comes too late changes nothing
-	q.HostEnded(balance.Reset, true, balance.Report{})
+	w.last.Up(nil) // a word that comes too late changes nothing
+	w.last.Ended(balance.Reset, true, balance.Report{}, nil)
 	assert.Len(t, w.answers, 1)
 }
 
@@ -127,7 +137,7 @@
 	q.ClientGone(true)
 	assert.Empty(t, w.out)
 	w.pass(time.Minute)
-	assert.Equal(t, 1, q.tries, "nothing is sent for a client that left")
+	assert.Equal(t, uint16(1), q.state.Attempts, "nothing is sent for a client that left")
 	assert.Empty(t, w.answers)
 	assert.Empty(t, c.queries)
 	assert.Zero(t, c.Owed())
@@ -138,11 +148,11 @@
 	q := w.arrive(c, "b")
 	for range 3 {
 		q.attempt.End(true)
-		q.HostEnded(balance.Unreachable, false, balance.Report{})
+		w.last.Ended(balance.Unreachable, false, balance.Report{}, nil)
 		w.pass(inheritedRetry)
 	}
 	assert.Equal(t, balance.ServerID("b"), q.server)
-	assert.Equal(t, 4, q.tries)
+	assert.Equal(t, uint16(4), q.state.Attempts)
 	w.pass(inheritedWait)
 	assert.Equal(t, []string{"fail"}, w.answers)
 	assert.Empty(t, c.queries)
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -39,8 +39,8 @@
 }
 
 // Attempt implements query.Servers.
-func (h *Hosts) Attempt(q *query.Query, server balance.ServerID, within time.Duration) query.Attempt {
-	a := &attempt{hosts: h, query: q, until: h.loop.Now() + within}
+func (h *Hosts) Attempt(t query.Try, server balance.ServerID, within time.Duration) query.Attempt {
+	a := &attempt{hosts: h, try: t, until: h.loop.Now() + within}
 	a.link = h.loop.Dial(h.endpoint(server), min(h.timeout, within), a)
 	return a
 }
@@ -48,7 +48,7 @@
 // attempt is a query's connection to a host.
 type attempt struct {
 	hosts *Hosts
-	query *query.Query
+	try   query.Try
 	link  *evloop.Link
 	until time.Duration
 	sent  bool // the first line is written
@@ -69,7 +69,10 @@
 
 // Opened implements evloop.Handler.
 func (a *attempt) Opened() {
-	opener := a.query.Client().(Opener)
+	if !a.try.Open() {
+		return
+	}
+	opener := a.try.Client().(Opener)
 	a.sent = true
 	a.link.Write(opener.OpenLine(nil, a.until-a.hosts.loop.Now()))
 }
@@ -91,13 +94,13 @@
 		switch string(first) {
 		case "UP":
 			a.up = true
-			a.query.HostUp(whole)
+			a.try.Up(whole)
 		default:
 			if !a.ending(string(first), rest) {
 				a.hosts.log.Warn("a host answered with an unknown line", "line", string(first))
 				a.last = failed
 			}
-			a.finish()
+			a.finish(whole)
 			return
 		}
 	}
@@ -135,7 +138,7 @@
 		first, more := line.Word(text)
 		if string(first) == "LOAD" {
 			if load, err := strconv.ParseFloat(string(more), 64); err == nil {
-				a.query.HostLoad(load)
+				a.try.Load(load)
 			}
 			continue
 		}
@@ -143,7 +146,7 @@
 	}
 	if n > 0 {
 		a.link.Discard(n)
-		a.query.HostLines(data[:n])
+		a.try.Lines(data[:n])
 	}
 	if err != nil {
 		a.fault(err)
@@ -152,13 +155,13 @@
 
 func (a *attempt) fault(err error) {
 	a.hosts.log.Warn("a host's line cannot be passed on", "error", err)
-	a.query.HostFaulty()
+	a.try.Faulty()
 }
 
-// finish closes the connection after a line that ends it.
-func (a *attempt) finish() {
+// finish closes the connection after a line that ends it, before anything was passed on.
+func (a *attempt) finish(word []byte) {
 	a.link.Close()
-	a.query.HostEnded(a.outcome(), true, a.said)
+	a.try.Ended(a.outcome(), true, a.said, word)
 }
 
 func (a *attempt) outcome() balance.Outcome {
@@ -181,14 +184,14 @@
 // Closed implements evloop.Handler.
 func (a *attempt) Closed(err error) {
 	if a.up && errors.Is(err, evloop.ErrNotReading) {
-		a.query.HostBehind()
+		a.try.Behind()
 		return
 	}
 	o := a.outcome()
 	if errors.Is(err, evloop.ErrNoRoom) {
 		o = balance.Unsent // no fault of the host's
 	}
-	a.query.HostEnded(o, evloop.Clean(err), a.said)
+	a.try.Ended(o, evloop.Clean(err), a.said, nil)
 }
 
 // Pass implements query.Attempt.
