--- a/internal/life/departure.go
+++ b/internal/life/departure.go
@@ -32,8 +32,8 @@
 type Departure struct {
 	PassThrough bool
 	Within      time.Duration // from SIGTERM; see StayWithin
-	closed      bool
-	gone        bool
+	Closed      bool          // CloseDoor was given
+	Gone        bool          // SendAway was given
 }
 
 // StayWithin is how long after SIGTERM a node may stay that serves classes of such a longest deadline.
@@ -49,14 +49,14 @@
 		left += standing
 	}
 	switch {
-	case d.gone:
-	case !d.closed:
+	case d.Gone:
+	case !d.Closed:
 		if after >= AcceptOn {
-			d.closed = true
+			d.Closed = true
 			return d, CloseDoor
 		}
 	case left == 0 || after >= d.Within:
-		d.gone = true
+		d.Gone = true
 		return d, SendAway
 	}
 	return d, Stay
--- /dev/null
+++ b/rehearsal/catalog/catalog.go
@@ -0,0 +1,195 @@
+// Package catalog lists the models that can be checked, and checks them by name.
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"lichenhitch/rehearsal/lifemodel"
+	"lichenhitch/rehearsal/model"
+)
+
+// Config says which model to check, and for what fleet.
+type Config struct {
+	Model      string `json:"model"`
+	Gateways   int    `json:"gateways"`
+	Clients    int    `json:"clients"`
+	Attempts   int    `json:"attempts"`
+	Scenario   string `json:"scenario,omitempty"`
+	Plant      string `json:"plant,omitempty"`
+	NoSymmetry bool   `json:"no_symmetry,omitempty"`
+}
+
+// Named is a thing with a name that tells what it is about.
+type Named struct{ Name, About string }
+
+// Entry is a model of the catalog.
+type Entry struct {
+	Named
+	Scenarios []Named
+	Plants    []Named
+	defaults  Config
+	find      func(Config) (Job, error)
+}
+
+// Job is a model that is ready to be checked.
+type Job interface {
+	Title() string
+	Check(model.Options) (*Report, error)
+}
+
+// Report is the outcome of a check, as it is printed and written.
+type Report struct {
+	Config          Config     `json:"config"`
+	States          uint64     `json:"states"`
+	Transitions     uint64     `json:"transitions"`
+	Depth           int        `json:"depth"`
+	Widest          uint64     `json:"widest"`
+	Seconds         float64    `json:"seconds"`
+	LiveSeconds     float64    `json:"liveness_seconds"`
+	StatesPerSecond float64    `json:"states_per_second"`
+	PeakBytes       uint64     `json:"peak_bytes"`
+	Missed          float64    `json:"missed_state_probability"`
+	Workers         int        `json:"workers"`
+	Complete        bool       `json:"complete"`
+	Stopped         string     `json:"stopped,omitempty"`
+	Properties      []Property `json:"properties"`
+	Seen            []string   `json:"seen"`
+	NotSeen         []string   `json:"not_seen"`
+	Trace           *Trace     `json:"trace,omitempty"`
+}
+
+// Property is a property with its verdict: holds, violated or unknown.
+type Property struct {
+	Name     string `json:"name"`
+	Liveness bool   `json:"liveness"`
+	Verdict  string `json:"verdict"`
+}
+
+// Trace is a counterexample.
+type Trace struct {
+	Config
+	Property string `json:"property"`
+	Loop     int    `json:"loop"` // how many steps come before the part that goes on for ever, or -1
+	Steps    []Step `json:"steps"`
+}
+
+// Step is a step of a trace: its code in the model, and what it means.
+type Step struct {
+	Code model.Step `json:"step"`
+	Text string     `json:"text"`
+}
+
+// Entries lists the models.
+func Entries() []Entry {
+	return []Entry{lifeEntry()}
+}
+
+// Find makes a model ready. Figures that are 0 are the model's own choice.
+func Find(c Config) (Job, error) {
+	var known []string
+	for _, e := range Entries() {
+		if e.Name != c.Model {
+			known = append(known, e.Name)
+			continue
+		}
+		if c.Gateways == 0 {
+			c.Gateways = e.defaults.Gateways
+		}
+		if c.Clients == 0 {
+			c.Clients = e.defaults.Clients
+		}
+		if c.Attempts == 0 {
+			c.Attempts = e.defaults.Attempts
+		}
+		return e.find(c)
+	}
+	return nil, fmt.Errorf("no model is named %q; there are: %s", c.Model, strings.Join(known, ", "))
+}
+
+func lifeEntry() Entry {
+	e := Entry{Named: Named{"life", "the life of queries in a world of gateways, clients and notices"},
+		defaults: Config{Gateways: 3, Clients: 1, Attempts: 4}, find: findLife}
+	for _, p := range lifemodel.Plants() {
+		e.Plants = append(e.Plants, Named(p))
+	}
+	return e
+}
+
+func findLife(c Config) (Job, error) {
+	m, err := lifemodel.New(c.Gateways, c.Clients, c.Attempts, c.Plant)
+	if err != nil {
+		return nil, err
+	}
+	m.NoSymmetry = c.NoSymmetry
+	return &job[lifemodel.State]{c, m}, nil
+}
+
+// job checks a model of any kind of states.
+type job[S any] struct {
+	config Config
+	m      model.Model[S]
+}
+
+// Title implements Job.
+func (j *job[S]) Title() string {
+	t := fmt.Sprintf("model %s: %d gateways, %d clients, %d attempts", j.config.Model, j.config.Gateways,
+		j.config.Clients, j.config.Attempts)
+	if j.config.Scenario != "" {
+		t += ", scenario " + j.config.Scenario
+	}
+	if j.config.Plant != "" {
+		t += ", planted: " + j.config.Plant
+	}
+	return t
+}
+
+// Check implements Job.
+func (j *job[S]) Check(opt model.Options) (*Report, error) {
+	res, err := model.Check(j.m, opt)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{Config: j.config, States: res.States, Transitions: res.Transitions, Depth: res.Depth,
+		Widest: res.Widest, Seconds: res.Seconds, LiveSeconds: res.LiveSeconds, StatesPerSecond: res.Rate(),
+		PeakBytes: res.PeakBytes, Missed: res.Missed, Workers: res.Workers, Complete: res.Complete,
+		Stopped: res.Stopped, Seen: []string{}, NotSeen: []string{}}
+	for _, f := range res.Findings {
+		r.Properties = append(r.Properties, Property{f.Property, f.Liveness, f.Verdict.String()})
+	}
+	if m, ok := j.m.(model.Coverer[S]); ok {
+		for i, name := range m.Sights() {
+			if res.Covered>>i&1 == 1 {
+				r.Seen = append(r.Seen, name)
+			} else {
+				r.NotSeen = append(r.NotSeen, name)
+			}
+		}
+	}
+	if v := res.Violation; v != nil {
+		r.Trace = &Trace{Config: j.config, Property: v.Property, Loop: v.Trace.Loop, Steps: []Step{}}
+		for i, s := range v.Trace.Steps {
+			r.Trace.Steps = append(r.Trace.Steps, Step{s, j.m.Describe(v.Trace.States[i], s, v.Trace.States[i+1])})
+		}
+	}
+	return r, nil
+}
+
+// ParseTrace reads a trace. Errors name the place at fault.
+func ParseTrace(text []byte) (*Trace, error) {
+	d := json.NewDecoder(strings.NewReader(string(text)))
+	d.DisallowUnknownFields()
+	var t Trace
+	if err := d.Decode(&t); err != nil {
+		at := int(d.InputOffset())
+		return nil, fmt.Errorf("line %d: %w", 1+strings.Count(string(text[:min(at, len(text))]), "\n"), err)
+	}
+	if len(t.Steps) == 0 {
+		return nil, fmt.Errorf("steps: there are none")
+	}
+	if t.Loop < -1 || t.Loop > len(t.Steps) {
+		return nil, fmt.Errorf("loop: %d is not within -1 to %d, the number of steps", t.Loop, len(t.Steps))
+	}
+	return &t, nil
+}
--- /dev/null
+++ b/rehearsal/lifemodel/plants.go
@@ -0,0 +1,158 @@
+package lifemodel
+
+import (
+	"time"
+
+	"lichenhitch/internal/life"
+)
+
+// plant is a planted bug, by its place in plants. Plants are changes of the model's copy of a rule; the daemon has none.
+type plant int
+
+// The plants that change the world's side of a rule. All others wrap life.Step or life.Departure.Step.
+const (
+	plantNone plant = iota
+	plantGuardLate
+	plantDrainLost
+	plantDrainedDial
+	plantMany
+	plantRepeat
+	plantRefusal
+)
+
+type rule = func(life.State, life.Event) (life.State, life.Effects)
+
+// planted is the description of a plant.
+type planted struct {
+	name   string
+	about  string
+	rule   rule
+	depart func(life.Departure, time.Duration, int, int) (life.Departure, life.Order)
+}
+
+// Plant tells of a planted bug.
+type Plant struct{ Name, About string }
+
+// Plants lists the bugs that can be planted.
+func Plants() []Plant {
+	var list []Plant
+	for _, p := range plants[1:] {
+		list = append(list, Plant{p.name, p.about})
+	}
+	return list
+}
+
+// Rule returns the planted copy of life.Step, or life.Step itself where the bug is planted elsewhere.
+func Rule(name string) func(life.State, life.Event) (life.State, life.Effects) {
+	for _, p := range plants {
+		if p.name == name && p.rule != nil {
+			return p.rule
+		}
+	}
+	return life.Step
+}
+
+// dropping returns the rule without an effect in the steps of some events, all if none are named.
+func dropping(f life.Effect, of ...life.Kind) rule {
+	return func(s life.State, e life.Event) (life.State, life.Effects) {
+		next, todo := life.Step(s, e)
+		if len(of) == 0 || contains(of, e.Kind) {
+			todo = todo.Without(f)
+		}
+		return next, todo
+	}
+}
+
+func contains(list []life.Kind, k life.Kind) bool {
+	for _, x := range list {
+		if x == k {
+			return true
+		}
+	}
+	return false
+}
+
+// staying returns the rule with a phase that an event fails to change.
+func staying(in life.Phase, k life.Kind) rule {
+	return func(s life.State, e life.Event) (life.State, life.Effects) {
+		next, todo := life.Step(s, e)
+		if s.Phase == in && e.Kind == k {
+			next.Phase = in
+		}
+		return next, todo
+	}
+}
+
+var plants = []planted{
+	plantNone:        {},
+	plantGuardLate:   {name: "guard-late", about: "the guard of the deadline is off by the margin: the client's time is up first"},
+	plantDrainLost:   {name: "drain-lost", about: "a drain notice is lost that comes while an attempt is out at the gateway"},
+	plantDrainedDial: {name: "drained-dial", about: "a dial that comes up past the limit writes its line all the same"},
+	plantMany:        {name: "fifth-attempt", about: "one attempt more than allowed"},
+	plantRepeat:      {name: "unsafe-repeat", about: "an attempt that may have run is repeated in a class that must not run twice"},
+	plantRefusal:     {name: "unsafe-refusal", about: "a refusal after an attempt that may have run, in such a class"},
+	{name: "answer-twice", about: "a refused query goes on waiting, and is answered again",
+		rule: staying(life.Waiting, life.Refuse)},
+	{name: "time-out-leaves-attempt", about: "the time-out does not close the attempt",
+		rule: dropping(life.CloseAttempt, life.AttemptLate)},
+	{name: "deadline-leaves-attempt", about: "the guard answers and leaves the attempt out",
+		rule: dropping(life.CloseAttempt, life.Deadline)},
+	{name: "answer-to-the-gone", about: "a client that leaves while its attempt is out is not noted as gone",
+		rule: staying(life.Trying, life.ClientGone)},
+	{name: "late-words", about: "words of an attempt that is over are taken for the present one's",
+		rule: func(s life.State, e life.Event) (life.State, life.Effects) {
+			if e.Kind >= life.HostUp {
+				e.Attempt = s.Attempts
+			}
+			return life.Step(s, e)
+		}},
+	{name: "served-in-silence", about: "a query that is served to its end at once gets no line",
+		rule: dropping(life.AnswerServed)},
+	{name: "guard-forgotten", about: "the guard of the deadline is not started", rule: dropping(life.Guard)},
+	{name: "guard-goes-on", about: "the guard is not stopped by the answer", rule: dropping(life.Unguard, life.HostUp)},
+	{name: "time-out-goes-on", about: "the time-out of an attempt is not stopped when the host is up",
+		rule: dropping(life.Unwatch, life.HostUp)},
+	{name: "told-too-early", about: "the balancer hears of the time-out before the attempt is closed",
+		rule: func(s life.State, e life.Event) (life.State, life.Effects) {
+			next, todo := life.Step(s, e)
+			if e.Kind == life.AttemptLate && todo.Has(life.TellEnded) {
+				todo = todo.Without(life.CloseAttempt)
+				todo.Add(life.CloseAttempt)
+			}
+			return next, todo
+		}},
+	{name: "end-not-told", about: "the balancer does not hear that an attempt timed out",
+		rule: dropping(life.TellEnded, life.AttemptLate)},
+	{name: "end-told-twice", about: "the balancer hears twice that a connection ended",
+		rule: func(s life.State, e life.Event) (life.State, life.Effects) {
+			next, todo := life.Step(s, e)
+			if s.Phase == life.Up && e.Kind == life.HostEnded && todo.Len() > 0 {
+				todo.Add(life.TellOver)
+			}
+			return next, todo
+		}},
+	{name: "cut-without-move", about: "a client is cut off without MOVE when its host does not keep up",
+		rule: dropping(life.MoveClient, life.HostBehind)},
+	{name: "end-without-word", about: "the host's end of a connection does not reach the client",
+		rule: dropping(life.EndClient)},
+	{name: "left-unanswered", about: "a node that stops leaves a waiting client without an answer",
+		rule: dropping(life.AnswerFail, life.Leave)},
+	{name: "never-leaves", about: "a leaving node waits for the last connection for ever",
+		depart: func(d life.Departure, after time.Duration, owed, standing int) (life.Departure, life.Order) {
+			if owed+standing > 0 {
+				after = min(after, life.AcceptOn)
+			}
+			return d.Step(after, owed+standing, standing)
+		}},
+	{name: "error-is-final", about: "a host's error ends the query without an answer",
+		rule: func(s life.State, e life.Event) (life.State, life.Effects) {
+			next, todo := life.Step(s, e)
+			if s.Phase == life.Trying && e.Kind == life.HostEnded && next.Phase == life.Waiting {
+				next.Phase = life.Over
+				todo = todo.Without(life.TellEnded)
+				todo.Add(life.Unguard)
+				todo.Add(life.TellOver)
+			}
+			return next, todo
+		}},
+}
