--- a/rehearsal/lifemodel/model.go
+++ b/rehearsal/lifemodel/model.go
@@ -13,6 +13,7 @@
 	Clients    int
 	Attempts   int  // that a query may have
 	NoSymmetry bool // keep the states apart that symmetry would take for one
+	Unreduced  bool // keep apart the conditions of gateways that no query touches
 	plant      plant
 	rule       func(life.State, life.Event) (life.State, life.Effects)
 	depart     func(d life.Departure, after time.Duration, owed, standing int) (life.Departure, life.Order)
--- a/rehearsal/lifemodel/model_test.go
+++ b/rehearsal/lifemodel/model_test.go
@@ -28,3 +28,41 @@
 	}
 	t.Logf("%d states, %d steps, %d deep", res.States, res.Transitions, res.Depth)
 }
+
+// reach returns all states of a model, made canonical by another one.
+func reach(m, by *Model) map[State]bool {
+	seen, all := map[State]bool{}, map[State]bool{}
+	queue := m.Initial()
+	for len(queue) > 0 {
+		s := m.Canonical(queue[len(queue)-1])
+		queue = queue[:len(queue)-1]
+		if seen[s] {
+			continue
+		}
+		seen[s] = true
+		all[by.Canonical(s)] = true
+		m.Steps(s, func(_ model.Step, next State) { queue = append(queue, next) })
+	}
+	return all
+}
+
+// TestTheReductionsLeaveNothingOut compares the states of the reduced model with those of the full one: symmetry and
+// untouched gateways may not hide any.
+func TestTheReductionsLeaveNothingOut(t *testing.T) {
+	reduced, err := New(2, 1, 1, "")
+	require.NoError(t, err)
+	full := *reduced
+	full.Unreduced = true
+	asymmetric := *reduced
+	asymmetric.NoSymmetry = true
+	want := reach(reduced, reduced)
+	assert.Greater(t, len(want), 5000)
+	assert.Equal(t, want, reach(&full, reduced))
+	assert.Equal(t, want, reach(&asymmetric, reduced))
+
+	pair, err := New(1, 2, 1, "")
+	require.NoError(t, err)
+	single := *pair
+	single.NoSymmetry = true
+	assert.Equal(t, reach(pair, pair), reach(&single, pair), "two clients")
+}
--- a/rehearsal/lifemodel/state.go
+++ b/rehearsal/lifemodel/state.go
@@ -52,6 +52,9 @@
 	Out    [MaxClients]bool // the connection of this client's query goes here
 }
 
+// touched says whether a query has a connection to the gateway, or means to go there again.
+func (g *Gateway) touched() bool { return g.Out[0] || g.Out[1] }
+
 // Class is what repeating a query may do, or that it is inherited.
 type Class uint8
 
@@ -179,7 +182,17 @@
 
 // Canonical implements model.Model: gateways have no names, and clients neither. A gateway's word holds all its ties to
 // clients, so that sorting the words is a full normal form; of two clients, both orders are tried.
+//
+// A gateway that no query has a connection to is taken for sound and for what it was told to be: it may fall silent, die
+// and come back at any time, and does so anew once a connection is begun there, so that nothing is missed.
 func (m *Model) Canonical(s State) State {
+	if !m.Unreduced {
+		for g := range m.Gateways {
+			if gw := &s.Gateways[g]; !gw.touched() {
+				gw.Cond, gw.Stale = Sound, false
+			}
+		}
+	}
 	if m.NoSymmetry {
 		return s
 	}
--- a/rehearsal/lifemodel/steps.go
+++ b/rehearsal/lifemodel/steps.go
@@ -571,14 +571,15 @@
 		t.Cond, t.Stale = to, stale
 		set(o, t)
 	}
-	switch gw.Cond {
-	case Sound:
+	switch {
+	case !m.Unreduced && !gw.touched(): // see Canonical
+	case gw.Cond == Sound:
 		cond(FallSilent, Silent, gw.Stale)
 		cond(Die, Dead, gw.Stale)
-	case Silent:
+	case gw.Cond == Silent:
 		cond(Heal, Sound, gw.Stale)
 		cond(Die, Dead, gw.Stale)
-	case Dead:
+	case gw.Cond == Dead:
 		cond(Return, Sound, true)
 	}
 	told := func(o Op, to Told, anew bool) {
@@ -609,7 +610,7 @@
 	case GonePast:
 		told(TellBack, Ready, true)
 	}
-	if gw.Stale && gw.Told < Gone {
+	if (gw.Stale || !m.Unreduced && !gw.touched()) && gw.Told < Gone {
 		told(TellRestart, Ready, true)
 	}
 }
--- a/rehearsal/model/explore.go
+++ b/rehearsal/model/explore.go
@@ -86,13 +86,11 @@
 	buf     []byte
 	broken  []broken
 	yield   func(Step, S)
-	at      uint32 // the state being expanded
-	pending uint8
+	succs   []succ[S]
+	touched uint64
 	steps   uint64
+	fresh   uint64
 	covered uint64
-	to      []uint32
-	class   []Fairness
-	keep    []bool
 }
 
 // Check visits every reachable state of a model. It returns an error only for a model or options that make no sense;
@@ -191,8 +189,12 @@
 	res := &Result[S]{Workers: c.opt.Workers}
 	first := c.workers[0]
 	for _, s := range c.m.Initial() {
-		first.visit(noState, s)
+		first.take(0, s)
+	}
+	for i := range first.succs {
+		first.put(noState, &first.succs[i])
 	}
+	c.states.Add(first.fresh)
 	var worst *broken
 	for {
 		n := c.turn()
@@ -275,7 +277,7 @@
 					return
 				}
 				sp := spans[n]
-				before, steps := len(w.next), w.steps
+				before, steps, fresh := len(w.next), w.steps, w.fresh
 				grown := cap(w.next)
 				held := w.edges.bytes
 				for i := sp.from; i < sp.to; i++ {
@@ -284,6 +286,7 @@
 				c.left.Add(int64(sp.from - sp.to))
 				c.found.Add(int64(len(w.next) - before))
 				c.transitions.Add(w.steps - steps)
+				c.states.Add(w.fresh - fresh)
 				more := c.extra.Add(int64(cap(w.next)-grown)*c.sizes + w.edges.bytes - held)
 				switch states := c.states.Load(); {
 				case more+c.store.bytes.Load() > c.opt.Memory:
@@ -297,62 +300,76 @@
 	all.Wait()
 }
 
-// expand takes all steps of one state.
+// succ is a state that a step leads to, in its canonical form.
+type succ[S any] struct {
+	state   S
+	fp      uint64
+	step    Step
+	pending uint8
+}
+
+// expand takes all steps of one state. They are collected before they are looked up: the places in the table are
+// touched one right after the other, so that the waits for memory overlap, which is most of what a check does.
 func (w *worker[S]) expand(it *item[S]) {
-	w.at, w.pending = it.id, w.c.m.Pending(it.state)
-	w.to, w.class, w.keep = w.to[:0], w.class[:0], w.keep[:0]
-	before := w.steps
-	w.c.m.Steps(it.state, w.yield)
-	live := w.pending != 0 && !w.c.opt.NoLiveness
+	c := w.c
+	w.succs = w.succs[:0]
+	c.m.Steps(it.state, w.yield)
+	w.steps += uint64(len(w.succs))
+	w.touched += touch(c.store, w.succs)
+	pending := c.m.Pending(it.state)
+	live := pending != 0 && !c.opt.NoLiveness
 	if live {
-		w.edges.begin(it.id, len(w.to)).end = w.steps == before
-		for i, to := range w.to {
-			w.edges.add(to, w.class[i], w.keep[i])
+		w.edges.begin(it.id, len(w.succs)).end = len(w.succs) == 0
+	}
+	for i := range w.succs {
+		n := &w.succs[i]
+		id, room := w.put(it.id, n)
+		if live && room {
+			w.edges.add(id, c.m.Fair(n.step), n.pending&pending != 0)
 		}
 	}
-	if w.steps > before || w.c.m.Done(it.state) {
-		return
+	if len(w.succs) == 0 && !c.m.Done(it.state) {
+		w.broken = append(w.broken, broken{id: it.id, fp: w.fingerprint(it.state), property: DeadlockFree, order: 32})
 	}
-	w.broken = append(w.broken, broken{id: it.id, fp: w.fingerprint(it.state), property: DeadlockFree, order: 32})
 }
 
 // take is one step of the state being expanded.
 func (w *worker[S]) take(step Step, next S) {
-	w.steps++
-	id, pending := w.visit(w.at, next)
-	if w.pending != 0 && !w.c.opt.NoLiveness {
-		w.to = append(w.to, id)
-		w.class = append(w.class, w.c.m.Fair(step))
-		w.keep = append(w.keep, pending&w.pending != 0 && id != noState)
+	n := len(w.succs)
+	if n < cap(w.succs) {
+		w.succs = w.succs[:n+1]
+	} else {
+		w.succs = append(w.succs, succ[S]{})
 	}
+	x := &w.succs[n]
+	x.state = w.c.m.Canonical(next)
+	x.step, x.pending, x.fp = step, w.c.m.Pending(x.state), w.fingerprint(x.state)
 }
 
-// visit puts a state in. A new one is checked and kept for the next depth.
-func (w *worker[S]) visit(parent uint32, s S) (uint32, uint8) {
+// put puts a state in. A new one is checked and kept for the next depth. It says whether there was room.
+func (w *worker[S]) put(parent uint32, n *succ[S]) (id uint32, room bool) {
 	c := w.c
-	s = c.m.Canonical(s)
-	pending := c.m.Pending(s)
-	fp := w.fingerprint(s)
-	id, fresh, room := c.store.add(fp, parent, pending)
+	id, fresh, room := c.store.add(n.fp, parent, n.pending)
 	if !room {
 		c.halt(fmt.Sprintf("the memory of %d MiB is full", c.opt.Memory>>20))
-		return noState, pending
+		return noState, false
 	}
-	if fresh {
-		c.states.Add(1)
-		w.next = append(w.next, item[S]{s, id})
-		if c.coverer != nil {
-			w.covered |= c.coverer.Covered(s)
-		}
-		if b := c.m.Broken(s); b != 0 {
-			for i, name := range c.safety {
-				if b>>i&1 == 1 {
-					w.broken = append(w.broken, broken{id, fp, name, i})
-				}
+	if !fresh {
+		return id, true
+	}
+	w.fresh++
+	w.next = append(w.next, item[S]{n.state, id})
+	if c.coverer != nil {
+		w.covered |= c.coverer.Covered(n.state)
+	}
+	if b := c.m.Broken(n.state); b != 0 {
+		for i, name := range c.safety {
+			if b>>i&1 == 1 {
+				w.broken = append(w.broken, broken{id, n.fp, name, i})
 			}
 		}
 	}
-	return id, pending
+	return id, true
 }
 
 func (w *worker[S]) fingerprint(s S) uint64 {
--- a/rehearsal/model/store.go
+++ b/rehearsal/model/store.go
@@ -80,16 +80,30 @@
 	if more := cap(h.parents) - before; more > 0 {
 		s.bytes.Add(int64(more) * 5)
 	}
-	t.ids[at] = id
+	atomic.StoreUint32(&t.ids[at], id)
 	atomic.StoreUint64(&t.keys[at], fp)
 	return id, true, true
 }
 
+// touch reads the first place of each state in the tables. What it returns has no meaning, but keeps the reads.
+func touch[S any](s *store, list []succ[S]) (sum uint64) {
+	for i := range list {
+		fp := max(list[i].fp, 1)
+		t := s.shard[fp>>(64-shardBits)].table.Load()
+		at := slot(fp) & uint64(len(t.keys)-1)
+		sum += atomic.LoadUint64(&t.keys[at]) + uint64(atomic.LoadUint32(&t.ids[at]))
+	}
+	return sum
+}
+
+// slot is where a fingerprint belongs, less the size of the table. The low bits choose, spread by a multiplication: a
+// model's coding must not matter.
+func slot(fp uint64) uint64 { return fp * 0x9e3779b97f4a7c15 >> 20 }
+
 // find returns the slot of a fingerprint, or the empty one where it belongs.
 func (t *table) find(fp uint64) (at int, found bool) {
 	mask := uint64(len(t.keys) - 1)
-	// The low bits choose the slot, spread by a multiplication: a model's coding must not matter.
-	for i := (fp * 0x9e3779b97f4a7c15 >> 20) & mask; ; i = (i + 1) & mask {
+	for i := slot(fp) & mask; ; i = (i + 1) & mask {
 		switch atomic.LoadUint64(&t.keys[i]) {
 		case fp:
 			return int(i), true
