The running core is explored whole under a stepped clock, each step one of the model of lives

Change: rehearsal/script puts the real query core and the real balancer into a scripted world, rehearsal/rules checks what crosses the interfaces, rehearsal/coremodel explores all runs by playing them anew and lets the model of lives follow. Queries are moved and answered in the order of their arrival, so that a run can be played again.

--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -6,7 +6,9 @@
 package query
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"time"
 
 	"lichenhitch/balance"
@@ -555,11 +557,21 @@
 // Leave ends everything, since the node stops: whoever waits gets an answer, and the clients of open connections are
 // moved, unless packets pass through and carry these connections over.
 func (c *Core) Leave(passThrough bool) {
+	var all []*Query
 	for _, q := range c.queries {
 		if q.state.Owed() || !passThrough {
-			q.step(life.Event{Kind: life.Leave}, &news{outcome: balance.Cancelled, after: c.comeBack})
+			all = append(all, q)
 		}
 	}
+	inOrder(all)
+	for _, q := range all {
+		q.step(life.Event{Kind: life.Leave}, &news{outcome: balance.Cancelled, after: c.comeBack})
+	}
+}
+
+// inOrder sorts queries by their arrival, so that a run can be played again.
+func inOrder(list []*Query) {
+	slices.SortFunc(list, func(a, b *Query) int { return cmp.Compare(a.arrival.Request, b.arrival.Request) })
 }
 
 // sweep moves the clients whose host has fallen silent. It guards against a host that vanished: its connections
@@ -577,11 +589,16 @@
 			silent[q.server] = true
 		}
 	}
+	var lost []*Query
 	for _, q := range c.queries {
 		if q.state.Phase == life.Up && (silent[q.server] || q.watch.Stuck(now)) {
-			q.step(life.Event{Kind: life.Move}, &news{outcome: balance.Reset})
+			lost = append(lost, q)
 		}
 	}
+	inOrder(lost)
+	for _, q := range lost {
+		q.step(life.Event{Kind: life.Move}, &news{outcome: balance.Reset})
+	}
 	for server := range silent {
 		c.log.Warn("a host has fallen silent; its clients are moved", "host", server)
 	}
--- /dev/null
+++ b/rehearsal/coremodel/model_test.go
@@ -0,0 +1,47 @@
+package coremodel
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lichenhitch/rehearsal/model"
+)
+
+func check(t *testing.T, c Config, opt model.Options) (*Model, *model.Result[State]) {
+	t.Helper()
+	m, err := New(c)
+	require.NoError(t, err)
+	res, err := model.Check[State](m, opt)
+	require.NoError(t, err)
+	if v := res.Violation; v != nil {
+		for i, s := range v.Trace.Steps {
+			t.Log(i+1, m.Describe(v.Trace.States[i], s, v.Trace.States[i+1]))
+		}
+	}
+	return m, res
+}
+
+func TestTheRunningCodeHoldsWhole(t *testing.T) {
+	m, res := check(t, Config{Gateways: 2, Clients: 1, Attempts: 3, Notices: 1, Seeds: 2}, model.Options{})
+	require.Nil(t, res.Violation)
+	assert.True(t, res.Complete)
+	for i, name := range m.Sights() {
+		assert.NotZero(t, res.Covered>>i&1, "never seen: %s", name)
+	}
+	t.Logf("%d states, %d steps, %d deep, %.1f s", res.States, res.Transitions, res.Depth, res.Seconds)
+}
+
+// TestPlantsAreFoundInTheRunningCode plants each bug into the rule or the balancer of the running code.
+func TestPlantsAreFoundInTheRunningCode(t *testing.T) {
+	for _, p := range Plants() {
+		m, err := New(Config{Gateways: 2, Clients: 1, Attempts: 2, Notices: 2, Seeds: 1, Plant: p.Name})
+		require.NoError(t, err)
+		res, err := model.Check[State](m, model.Options{})
+		require.NoError(t, err)
+		if assert.NotNil(t, res.Violation, "%s is not found", p.Name) {
+			t.Logf("%s: %s, %d steps", p.Name, res.Violation.Property, len(res.Violation.Trace.Steps))
+		}
+	}
+}
--- a/rehearsal/lifemodel/plants.go
+++ b/rehearsal/lifemodel/plants.go
@@ -52,6 +52,16 @@
 	return life.Step
 }
 
+// InRule says whether a bug is planted in the rule of lives, which the running code shares.
+func InRule(name string) bool {
+	for _, p := range plants {
+		if p.name == name {
+			return p.rule != nil
+		}
+	}
+	return false
+}
+
 // dropping returns the rule without an effect in the steps of some events, all if none are named.
 func dropping(f life.Effect, of ...life.Kind) rule {
 	return func(s life.State, e life.Event) (life.State, life.Effects) {
--- /dev/null
+++ b/rehearsal/script/do.go
@@ -0,0 +1,407 @@
+package script
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"lichenhitch/balance"
+	"lichenhitch/internal/life"
+	"lichenhitch/internal/query"
+	"lichenhitch/rehearsal/lifemodel"
+	"lichenhitch/rehearsal/model"
+	"lichenhitch/rehearsal/rules"
+)
+
+var errTurn = errors.New("a client sends one line and waits for the answer")
+
+// Do takes one step. An error says that the step makes no sense now; the world is unchanged then.
+func (w *World) Do(step model.Step) error {
+	o, c, g, arg := lifemodel.Decode(step)
+	if w.off {
+		return fmt.Errorf("the node has stopped")
+	}
+	if o < lifemodel.FallSilent || o >= Chat {
+		return w.doQuery(o, c, g, arg)
+	}
+	switch o {
+	case Advance:
+		return w.advance()
+	case AnswerProbe:
+		return w.answerProbe(arg)
+	case lifemodel.Term, lifemodel.ShutDoor:
+		w.note(o, c, g, arg)
+		return nil
+	case lifemodel.SendOff:
+		w.note(o, c, g, 1)
+		pass := w.cfg.Settings.PassThrough
+		w.say("the node sends everybody away and stops")
+		w.Core.Leave(pass)
+		w.off = true
+		w.Rules.Stopped(w.now, pass)
+		return nil
+	}
+	if g >= len(w.hosts) {
+		return fmt.Errorf("there is no gateway %d", g+1)
+	}
+	return w.doHost(o, g)
+}
+
+// doQuery takes a step about one client's query.
+func (w *World) doQuery(o lifemodel.Op, c, g, arg int) error {
+	if o == lifemodel.Ask {
+		return w.ask(c, g, arg)
+	}
+	if c >= len(w.client) {
+		return fmt.Errorf("client %d has not asked", c+1)
+	}
+	q := w.client[c]
+	l := q.link
+	switch o {
+	case lifemodel.Overdue:
+		return w.fireKind(query.DueAttempt, c)
+	case lifemodel.Again:
+		return w.fireKind(query.DueRetry, c)
+	case lifemodel.Due:
+		return w.fireKind(query.DueGuard, c)
+	case lifemodel.TimeUp:
+		w.now = max(w.now, start+w.cfg.Wait)
+		w.note(o, c, 0, 0)
+		w.Rules.TimeUp(w.now, c)
+		return nil
+	case lifemodel.Leave:
+		w.note(o, c, 0, 0)
+		w.say("client %d leaves", c+1)
+		q.seen = lifemodel.Left
+		w.Rules.Gone(c)
+		q.query.ClientGone(true)
+		return nil
+	case lifemodel.Interject:
+		w.note(o, c, 0, 0)
+		w.say("client %d speaks out of turn", c+1)
+		q.query.ClientFaulty(errTurn)
+		return nil
+	case lifemodel.LateUp, lifemodel.LateEnd:
+		return w.lateWord(o, c)
+	case Expire:
+		for q.seen == lifemodel.Asking {
+			w.fire(w.next())
+		}
+		return nil
+	case Chat:
+		q.query.ClientLines([]byte("line\r\n"))
+		return nil
+	}
+	if l == nil {
+		return fmt.Errorf("client %d has no connection to a gateway", c+1)
+	}
+	if g != w.hostOf(l.server) {
+		return fmt.Errorf("the connection of client %d goes to %s", c+1, l.server)
+	}
+	return w.doLink(o, l, c, g)
+}
+
+// doLink takes a step of the host's, or the network's, on a connection.
+func (w *World) doLink(o lifemodel.Op, l *link, c, g int) error {
+	if dialing := o == lifemodel.Connect || o == lifemodel.NoLuck; dialing == l.sent {
+		return fmt.Errorf("%s does not fit the state of the connection of client %d", o, c+1)
+	}
+	if o < lifemodel.Garble && o != lifemodel.Break && l.up {
+		return fmt.Errorf("the connection of client %d stands already", c+1)
+	}
+	w.note(o, c, g, 0)
+	if o != Reply {
+		w.say("%s, query %d: %s", l.server, c+1, o)
+	}
+	ended := func(out balance.Outcome, clean bool, seen rules.Word, word string) {
+		l.shut()
+		w.Rules.HostEnded(l.id, seen)
+		l.try.Ended(out, clean, balance.Report{}, []byte(word))
+	}
+	switch o {
+	case lifemodel.Connect:
+		if w.cfg.Plant == "drained-dial" || l.try.Open() {
+			l.sent = true
+			w.Rules.Sent(w.now, l.id)
+		}
+	case lifemodel.NoLuck:
+		ended(balance.Unreachable, false, rules.NoConnection, "")
+	case lifemodel.SayUp:
+		l.up = true
+		w.Rules.HostUp(l.id)
+		l.try.Up(fmt.Appendf(nil, "UP %d\r\n", l.id))
+	case lifemodel.SayServed:
+		ended(balance.OK, true, rules.Other, "BYE\r\n")
+	case lifemodel.SayFull:
+		ended(balance.Full, true, rules.Busy, "")
+	case lifemodel.SayError:
+		ended(balance.Errored, true, rules.Other, "")
+	case lifemodel.Break:
+		ended(balance.Reset, false, rules.Other, "")
+	case lifemodel.Garble:
+		l.try.Faulty()
+	case lifemodel.Clog:
+		l.try.Behind()
+	case Reply:
+		l.try.Lines(fmt.Appendf(nil, "line %d\r\n", l.id))
+	default:
+		return fmt.Errorf("a world does not know %s", o)
+	}
+	return nil
+}
+
+// ask lets a client come.
+func (w *World) ask(c, g, class int) error {
+	if c != len(w.client) || class >= len(w.cfg.Classes) {
+		return fmt.Errorf("client %d cannot ask now, or its class %d is unknown", c+1, class)
+	}
+	var at balance.ServerID
+	if class == int(lifemodel.Inherited) {
+		if g >= len(w.hosts) {
+			return fmt.Errorf("there is no gateway %d", g+1)
+		}
+		at = w.hosts[g].Server
+	}
+	q := &client{w: w, id: c, inherited: at != "", seen: lifemodel.Asking}
+	w.client = append(w.client, q)
+	wait := w.cfg.Wait
+	if at != "" {
+		wait = 40*time.Second + 10*time.Millisecond
+	}
+	w.note(lifemodel.Ask, c, g, class)
+	w.say("client %d asks, class %s %s", c+1, w.cfg.Classes[class], at)
+	w.Rules.Asked(w.now, c, w.cfg.Classes[class], at != "", wait)
+	w.mark(w.now+wait, func() {
+		if q.seen == lifemodel.Asking {
+			w.note(lifemodel.TimeUp, c, 0, 0)
+			w.Rules.TimeUp(w.now, c)
+		}
+	})
+	q.query = w.Core.Arrive(q, balance.Arrival{Class: w.cfg.Classes[class]}, at, wait)
+	return nil
+}
+
+// advance fires the next timer. Looks for silent hosts have no effect while nobody is served, and are passed over then.
+func (w *World) advance() error {
+	for {
+		i := w.next()
+		if i < 0 {
+			return fmt.Errorf("no timer is running")
+		}
+		t := w.timers[i]
+		w.fire(i)
+		if t.mark != nil { // what the world does at one moment, it does at once
+			for i = w.next(); i >= 0 && w.timers[i].mark != nil && w.timers[i].at == t.at; i = w.next() {
+				w.fire(i)
+			}
+			return nil
+		}
+		if t.due.Kind != query.DueSweep || w.serving() {
+			return nil
+		}
+	}
+}
+
+func (w *World) serving() bool {
+	for _, c := range w.client {
+		if c.seen == lifemodel.Served {
+			return true
+		}
+	}
+	return false
+}
+
+// fireKind fires a query's timer, whatever else is due before: a model's trace orders deadlines as it likes.
+func (w *World) fireKind(k query.DueKind, c int) error {
+	w.next()
+	for i, t := range w.timers {
+		if t.mark == nil && t.due.Kind == k && int(t.due.Request) == c+1 {
+			w.fire(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("client %d has no such timer running", c+1)
+}
+
+// lateWord has a host speak of an attempt that the node is done with.
+func (w *World) lateWord(o lifemodel.Op, c int) error {
+	for _, l := range w.links {
+		if l.held && l.client.id == c {
+			w.note(o, c, 0, 0)
+			w.say("%s speaks of an attempt of query %d that is over", l.server, c+1)
+			if o == lifemodel.LateUp {
+				l.try.Up(fmt.Appendf(nil, "UP %d\r\n", l.id))
+			} else {
+				l.try.Ended(balance.Reset, false, balance.Report{}, nil)
+			}
+			return nil
+		}
+	}
+	return fmt.Errorf("client %d has no attempt that is over at a gateway", c+1)
+}
+
+func (w *World) answerProbe(arg int) error {
+	if len(w.probes) == 0 {
+		return fmt.Errorf("no probe is out")
+	}
+	s := w.probes[0]
+	w.probes = w.probes[1:]
+	switch arg {
+	case ProbeLost:
+		w.Core.Probed(s, balance.TimedOut, 0, balance.Report{})
+	case ProbeRefused:
+		w.Core.Probed(s, balance.Unreachable, 0, balance.Report{})
+	default:
+		ratio := float64(arg) / 100
+		w.Core.Probed(s, balance.OK, 0, balance.Report{Known: balance.HasRatio | balance.HasHeld, Ratio: ratio,
+			Held: 20 * ratio})
+	}
+	return nil
+}
+
+// doHost takes a step about a host: what discovery tells. What befalls the host itself shows on its connections only.
+func (w *World) doHost(o lifemodel.Op, g int) error {
+	h := w.hosts[g]
+	old := h.told
+	anew := false
+	switch o {
+	case lifemodel.FallSilent, lifemodel.Heal, lifemodel.Die:
+		w.note(o, 0, g, 0)
+		return nil
+	case lifemodel.Return:
+		h.restarts++
+		w.note(o, 0, g, 0)
+		return nil
+	case lifemodel.Limit:
+		w.now = max(w.now, w.now+grace(w.cfg.Settings))
+		w.note(o, 0, g, 0)
+		return nil
+	case lifemodel.TellDrain:
+		h.told = balance.Draining
+	case lifemodel.TellReady:
+		h.told = balance.Ready
+	case lifemodel.TellGone:
+		h.told = balance.Gone
+	case lifemodel.TellBack:
+		h.told = balance.Ready
+		anew = h.restarts > 0
+	case lifemodel.TellRestart:
+		h.told, anew = balance.Ready, true
+	default:
+		return fmt.Errorf("a world does not know %s", o)
+	}
+	if o == lifemodel.TellRestart && h.restarts == 0 { // it was not told so far that it died
+		w.note(lifemodel.Die, 0, g, 0)
+		w.note(lifemodel.Return, 0, g, 0)
+	}
+	if anew {
+		h.Started, h.restarts = w.now, 0
+	}
+	h.State = h.told
+	w.note(o, 0, g, 0)
+	w.say("discovery: %s, %s", h.Server, o)
+	w.Rules.Listed(w.now, h.Listing)
+	if old == balance.Ready && h.told != balance.Ready {
+		w.limit(g)
+	}
+	if w.cfg.Plant == "drain-lost" && o == lifemodel.TellDrain && w.linked(h.Server) {
+		return nil
+	}
+	w.Core.List(balance.ListChanges, []balance.Listing{h.Listing})
+	return nil
+}
+
+func (w *World) linked(s balance.ServerID) bool {
+	for _, l := range w.links {
+		if l.open && l.server == s {
+			return true
+		}
+	}
+	return false
+}
+
+// limit marks the moment from which the node must not write to a host any more.
+func (w *World) limit(g int) {
+	h := w.hosts[g]
+	h.drains++
+	drain := h.drains
+	w.mark(w.now+grace(w.cfg.Settings)-50*time.Millisecond, func() {
+		if h.told != balance.Ready && h.drains == drain {
+			w.note(lifemodel.Limit, 0, g, 0)
+			w.say("the limit of %s has passed", h.Server)
+		}
+	})
+}
+
+// Owed says whether some client waits for its answer.
+func (w *World) Owed() bool {
+	for _, c := range w.client {
+		if c.seen == lifemodel.Asking {
+			return true
+		}
+	}
+	return false
+}
+
+// Check looks at what must hold between two steps.
+func (w *World) Check() {
+	w.Rules.Settled(w.now)
+	for _, t := range w.timers {
+		if t.off || t.mark != nil || t.due.Request == 0 {
+			continue
+		}
+		q := w.client[t.due.Request-1].query.State()
+		if t.due.Kind == query.DueGuard && !q.Owed() || t.due.Kind == query.DueAttempt && q.Phase != life.Trying ||
+			t.due.Kind == query.DueRetry && q.Phase != life.Waiting {
+			w.Rules.Note(w.now, fmt.Sprintf("query %d is %s, and a timer of it goes on", t.due.Request, q.Phase))
+		}
+	}
+}
+
+// Broken returns what was broken so far.
+func (w *World) Broken() []string { return w.Rules.Broken() }
+
+// Tell has all that crosses an interface told in words.
+func (w *World) Tell(f func(string)) { w.tell = f }
+
+// Done returns what was done since the last call, in the words of the model of lives.
+func (w *World) Done() []model.Step {
+	d := w.done
+	w.done = nil
+	return d
+}
+
+// State returns where a client's query stands, what its client has seen and where its connection goes: its stage and
+// its host, -1 for none.
+func (w *World) State(c int) (life.State, lifemodel.Seen, lifemodel.Stage, int) {
+	q := w.client[c]
+	switch {
+	case q.link == nil:
+		return q.query.State(), q.seen, lifemodel.NoLink, -1
+	case q.link.sent:
+		return q.query.State(), q.seen, lifemodel.Sent, w.hostOf(q.link.server)
+	}
+	return q.query.State(), q.seen, lifemodel.Dialing, w.hostOf(q.link.server)
+}
+
+// Clients returns how many clients have asked.
+func (w *World) Clients() int { return len(w.client) }
+
+// Elapsed returns how long the world has been running.
+func (w *World) Elapsed() time.Duration { return w.now - start }
+
+// Stopped says whether the node has stopped.
+func (w *World) Stopped() bool { return w.off }
+
+// Told returns what discovery last told of a host.
+func (w *World) Told(g int) balance.State { return w.hosts[g].told }
+
+// Held says whether some host may still speak of an attempt of a client that is over.
+func (w *World) Held(c int) bool {
+	for _, l := range w.links {
+		if l.held && l.client.id == c {
+			return true
+		}
+	}
+	return false
+}
