Traces play on the running code: every planted bug breaks it, and without the bug it holds

Change: rehearse model replay drives the real core through a trace of either model, with a scripted balancer or the real one; the world checks state, timers, connections and the balancer's books against each other after every step. Faulty traces are named with their place.

--- /dev/null
+++ b/rehearsal/catalog/catalog_test.go
@@ -0,0 +1,63 @@
+package catalog
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lichenhitch/rehearsal/model"
+)
+
+// TestEveryPlantBreaksTheRunningCodeToo finds each planted bug in its model, writes and reads the trace, and plays it on
+// the running code, which must break a rule with the bug and keep all rules without it.
+func TestEveryPlantBreaksTheRunningCodeToo(t *testing.T) {
+	for _, e := range Entries() {
+		for _, p := range e.Plants {
+			job, err := Find(Config{Model: e.Name, Gateways: 2, Clients: 1, Attempts: 2, Notices: 2, Seeds: 1, Plant: p.Name})
+			require.NoError(t, err)
+			rep, err := job.Check(model.Options{})
+			require.NoError(t, err)
+			require.NotNil(t, rep.Trace, "%s, %s: not found", e.Name, p.Name)
+			text, err := json.Marshal(rep.Trace)
+			require.NoError(t, err)
+			trace, err := ParseTrace(text)
+			require.NoError(t, err)
+			if trace.Loop >= 0 {
+				_, err = Replay(trace)
+				assert.ErrorContains(t, err, "loop", p.Name)
+				continue
+			}
+			shown, err := Replay(trace)
+			if assert.NoError(t, err, "%s, %s: %s", e.Name, p.Name, text) {
+				assert.NotEmpty(t, shown.Broken, "%s, %s: %s", e.Name, p.Name, text)
+			}
+			trace.Plant = ""
+			if sound, err := Replay(trace); err == nil && p.Name != "guard-late" && p.Name != "fifth-attempt" &&
+				p.Name != "unsafe-repeat" && p.Name != "unsafe-refusal" { // there the trace's own balancer or clock is at fault
+				assert.Empty(t, sound.Broken, "%s, %s without the bug", e.Name, p.Name)
+			}
+		}
+	}
+}
+
+func TestFaultyTracesAreNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"model":"life",` + "\n" + `"steps":7}`:                                                         "line 2",
+		`{"model":"life","steps":[]}`:                                                                    "steps: there are none",
+		`{"model":"life","loop":5,"steps":[{"step":0}]}`:                                                 "loop: 5 is not within -1 to 1",
+		`{"model":"life","odd":1,"steps":[{"step":0}]}`:                                                  `unknown field "odd"`,
+		`{"model":"x","gateways":1,"clients":1,"attempts":1,"loop":-1,"steps":[{"step":0}]}`:             `traces of "x" cannot be replayed`,
+		`{"model":"life","gateways":9,"clients":1,"attempts":1,"loop":-1,"steps":[{"step":0}]}`:          "gateways: 9 is not within 1 to 4",
+		`{"model":"life","gateways":1,"clients":1,"attempts":1,"loop":-1,"steps":[{"step":7}]}`:          "steps[0]: client 1 has not asked",
+		`{"model":"life","gateways":1,"clients":1,"attempts":1,"loop":-1,"steps":[{"step":4000000}]}`:    "steps[0]: ",
+		`{"model":"core","gateways":1,"clients":1,"attempts":1,"seed":1,"loop":-1,"steps":[{"step":5}]}`: "steps[0]: ",
+	} {
+		trace, err := ParseTrace([]byte(text))
+		if err == nil {
+			_, err = Replay(trace)
+		}
+		assert.ErrorContains(t, err, want, text)
+	}
+}
--- a/rehearsal/coremodel/model.go
+++ b/rehearsal/coremodel/model.go
@@ -198,6 +198,20 @@
 	return list
 }
 
+// Start returns the state to start from with a seed of the balancer's, counted from 1.
+func (m *Model) Start(seed uint64) (State, error) {
+	if seed < 1 || seed > uint64(max(1, m.cfg.Seeds)) {
+		return State{}, fmt.Errorf("seed: %d is not within 1 to %d", seed, max(1, m.cfg.Seeds))
+	}
+	return m.play(seed, nil, nil)
+}
+
+// Play takes one step. An error says why it is not possible there.
+func (m *Model) Play(s State, step model.Step) (State, error) { return m.play(s.seed, s.steps, &step) }
+
+// Seed returns the seed of the balancer's that a state was reached with.
+func (s State) Seed() uint64 { return s.seed }
+
 // Steps implements model.Model.
 func (m *Model) Steps(s State, yield func(model.Step, State)) {
 	if s.broken != 0 {
--- a/rehearsal/lifemodel/state.go
+++ b/rehearsal/lifemodel/state.go
@@ -108,7 +108,8 @@
 	Life   life.State
 	Link   Stage
 	Book   Book
-	MayRun bool // an attempt that ended may have run
+	MayRun bool // an attempt that ended may have run, as the balancer has to take it
+	Ran    bool // an attempt that ended may have run in truth: its first line was written
 	Held   bool // some gateway holds an attempt that this node is done with, and may still speak of it
 	Guard  bool // the guard of the deadline is running
 	Timer  bool // the time-out of the attempt, or the pause before the next, is running
@@ -164,7 +165,8 @@
 func (c *Client) word() uint32 {
 	return uint32(c.Class) | uint32(c.Seen)<<2 | uint32(c.Life.Phase)<<5 | bit[uint32](c.Life.Inherited, 8) |
 		uint32(c.Life.Attempts&15)<<9 | uint32(c.Link)<<13 | uint32(c.Book)<<15 | bit[uint32](c.MayRun, 18) |
-		bit[uint32](c.Held, 19) | bit[uint32](c.Guard, 20) | bit[uint32](c.Timer, 21)
+		bit[uint32](c.Held, 19) | bit[uint32](c.Guard, 20) | bit[uint32](c.Timer, 21) |
+		bit[uint32](c.Ran, 22)
 }
 
 // Encode implements model.Model.
