--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,10 @@
 	mkdir -p bin
 	go build -o bin/ ./cmd/...
 
-# The decision module is pure and runs its random days without the race detector; all else runs with it.
+# The decision module and the models of one thread run without the race detector; all else runs with it.
 test:
-	go test ./balance/...
-	go test -race ./cmd/... ./internal/...
+	go test ./balance/... ./rehearsal/lifemodel ./rehearsal/coremodel ./rehearsal/catalog ./rehearsal/walk
+	go test -race ./cmd/... ./internal/... ./rehearsal/model
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt-ed: $$unformatted" >&2; exit 1; fi
--- a/rehearsal/catalog/catalog.go
+++ b/rehearsal/catalog/catalog.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"lichenhitch/rehearsal/coremodel"
 	"lichenhitch/rehearsal/lifemodel"
@@ -19,6 +20,8 @@
 	Attempts   int    `json:"attempts"`
 	Notices    int    `json:"notices,omitempty"` // of discovery in one run; core only
 	Seeds      int    `json:"seeds,omitempty"`   // of the balancer's chance; core only
+	Lines      int    `json:"lines,omitempty"`   // that a client may send in one run; connection only
+	Scenario   string `json:"scenario,omitempty"`
 	Plant      string `json:"plant,omitempty"`
 	NoSymmetry bool   `json:"no_symmetry,omitempty"`
 }
@@ -29,9 +32,10 @@
 // Entry is a model of the catalog.
 type Entry struct {
 	Named
-	Plants   []Named
-	defaults Config
-	find     func(Config) (Job, error)
+	Scenarios []Named
+	Plants    []Named
+	defaults  Config
+	find      func(Config) (Job, error)
 }
 
 // Job is a model that is ready to be checked.
@@ -72,8 +76,9 @@
 type Trace struct {
 	Config
 	Property string `json:"property"`
-	Seed     uint64 `json:"seed,omitempty"` // of the balancer's in this run; core only
-	Loop     int    `json:"loop"`           // how many steps come before the part that goes on for ever, or -1
+	Seed     uint64 `json:"seed,omitempty"`  // of the balancer's in this run; core and connection
+	Start    int    `json:"start,omitempty"` // which of the model's beginnings
+	Loop     int    `json:"loop"`            // how many steps come before the part that goes on for ever, or -1
 	Steps    []Step `json:"steps"`
 }
 
@@ -85,7 +90,7 @@
 
 // Entries lists the models.
 func Entries() []Entry {
-	return []Entry{lifeEntry(), coreEntry()}
+	return []Entry{lifeEntry(), coreEntry(), connectionEntry()}
 }
 
 // Find makes a model ready. Figures that are 0 are the model's own choice.
@@ -108,6 +113,12 @@
 		if c.Notices == 0 {
 			c.Notices = e.defaults.Notices
 		}
+		if c.Lines == 0 {
+			c.Lines = e.defaults.Lines
+		}
+		if c.Scenario != "" && e.Name != "life" {
+			return nil, fmt.Errorf("scenario: model %s has none", e.Name)
+		}
 		if c.Seeds == 0 {
 			c.Seeds = e.defaults.Seeds
 		}
@@ -122,6 +133,9 @@
 	for _, p := range lifemodel.Plants() {
 		e.Plants = append(e.Plants, Named(p))
 	}
+	for _, s := range lifemodel.Scenarios() {
+		e.Scenarios = append(e.Scenarios, Named{s.Name, s.About})
+	}
 	return e
 }
 
@@ -131,6 +145,11 @@
 		return nil, err
 	}
 	m.NoSymmetry = c.NoSymmetry
+	if c.Scenario != "" {
+		if err := m.Only(c.Scenario); err != nil {
+			return nil, err
+		}
+	}
 	return &job[lifemodel.State]{c, m}, nil
 }
 
@@ -148,6 +167,26 @@
 		Seeds: c.Seeds, Plant: c.Plant}
 }
 
+// connectionsLast is how long connections are looked at.
+const connectionsLast = 6 * time.Second
+
+func connectionEntry() Entry {
+	e := Entry{Named: Named{"connection", "the running code once connections stand: lines, silence, drains, moves, both ends"},
+		defaults: Config{Gateways: 1, Clients: 2, Attempts: 2, Seeds: 1, Lines: 1}, find: findConnection}
+	for _, p := range coremodel.ConnectionPlants() {
+		e.Plants = append(e.Plants, Named(p))
+	}
+	return e
+}
+
+func findConnection(c Config) (Job, error) {
+	m, err := coremodel.NewConnections(c.core(), c.Lines, connectionsLast)
+	if err != nil {
+		return nil, err
+	}
+	return &job[coremodel.State]{c, m}, nil
+}
+
 func findCore(c Config) (Job, error) {
 	m, err := coremodel.New(c.core())
 	if err != nil {
@@ -166,9 +205,15 @@
 func (j *job[S]) Title() string {
 	t := fmt.Sprintf("model %s: %d gateways, %d clients, %d attempts", j.config.Model, j.config.Gateways,
 		j.config.Clients, j.config.Attempts)
-	if j.config.Notices > 0 {
+	if j.config.Seeds > 0 {
 		t += fmt.Sprintf(", %d notices, %d seeds", j.config.Notices, j.config.Seeds)
 	}
+	if j.config.Lines > 0 {
+		t += fmt.Sprintf(", %d lines each", j.config.Lines)
+	}
+	if j.config.Scenario != "" {
+		t += ", scenario " + j.config.Scenario
+	}
 	if j.config.Plant != "" {
 		t += ", planted: " + j.config.Plant
 	}
@@ -189,10 +234,14 @@
 		r.Properties = append(r.Properties, Property{f.Property, f.Liveness, f.Verdict.String()})
 	}
 	if m, ok := j.m.(model.Coverer[S]); ok {
+		expected := ^uint64(0)
+		if e, ok := j.m.(interface{ Expected() uint64 }); ok {
+			expected = e.Expected()
+		}
 		for i, name := range m.Sights() {
 			if res.Covered>>i&1 == 1 {
 				r.Seen = append(r.Seen, name)
-			} else {
+			} else if expected>>i&1 == 1 {
 				r.NotSeen = append(r.NotSeen, name)
 			}
 		}
@@ -200,7 +249,7 @@
 	if v := res.Violation; v != nil {
 		r.Trace = &Trace{Config: j.config, Property: v.Property, Loop: v.Trace.Loop, Steps: []Step{}}
 		if s, ok := any(v.Trace.States[0]).(coremodel.State); ok {
-			r.Trace.Seed = s.Seed()
+			r.Trace.Seed, r.Trace.Start = s.Seed(), s.Which()
 		}
 		for i, s := range v.Trace.Steps {
 			r.Trace.Steps = append(r.Trace.Steps, Step{s, j.m.Describe(v.Trace.States[i], s, v.Trace.States[i+1])})
--- a/rehearsal/catalog/replay.go
+++ b/rehearsal/catalog/replay.go
@@ -24,7 +24,17 @@
 	case "life":
 		return replayLife(t)
 	case "core":
-		return replayCore(t)
+		m, err := coremodel.New(t.core())
+		if err != nil {
+			return nil, err
+		}
+		return replayCore(t, m)
+	case "connection":
+		m, err := coremodel.NewConnections(t.core(), t.Lines, connectionsLast)
+		if err != nil {
+			return nil, err
+		}
+		return replayCore(t, m)
 	}
 	return nil, fmt.Errorf("model: traces of %q cannot be replayed", t.Model)
 }
@@ -77,13 +87,9 @@
 }
 
 // replayCore plays a trace of the running code again.
-func replayCore(t *Trace) (*Replayed, error) {
-	m, err := coremodel.New(t.core())
-	if err != nil {
-		return nil, err
-	}
+func replayCore(t *Trace, m *coremodel.Model) (*Replayed, error) {
 	rep := &Replayed{}
-	s, err := m.Start(t.Seed)
+	s, err := m.Start(t.Seed, t.Start)
 	if err != nil {
 		return nil, err
 	}
--- a/rehearsal/coremodel/model.go
+++ b/rehearsal/coremodel/model.go
@@ -64,6 +64,7 @@
 
 type run struct {
 	seed    uint64
+	which   int // of an initial state: which of the beginnings it is
 	steps   []model.Step
 	print   uint64
 	broken  uint32
@@ -79,6 +80,9 @@
 	cfg  Config
 	life *lifemodel.Model
 	set  balance.Settings
+	// lines is how many each client may send; -1 where connections that stand are of no interest.
+	lines   int
+	horizon time.Duration // how long connections are looked at
 }
 
 // New returns the model.
@@ -99,7 +103,7 @@
 		}
 	}
 	m.Unreduced, m.NoSymmetry = true, true
-	return &Model{cfg: c, life: m, set: c.settings()}, nil
+	return &Model{cfg: c, life: m, set: c.settings(), lines: -1}, nil
 }
 
 // The safety properties.
@@ -127,7 +131,8 @@
 
 // Fair implements model.Model: time passes.
 func (m *Model) Fair(s model.Step) model.Fairness {
-	if o, _, _, _ := lifemodel.Decode(s); o == script.Advance || o == script.Expire {
+	switch o, _, _, _ := lifemodel.Decode(s); o {
+	case script.Advance, script.Expire, script.Pass:
 		return 1
 	}
 	return 0
@@ -192,23 +197,44 @@
 func (m *Model) Initial() []State {
 	var list []State
 	for seed := range max(1, m.cfg.Seeds) {
-		s, _ := m.play(uint64(seed)+1, nil, nil)
-		list = append(list, s)
+		for which, start := range m.starts(uint64(seed) + 1) {
+			s, _ := m.play(uint64(seed)+1, start, nil)
+			s.which = which
+			list = append(list, s)
+		}
 	}
 	return list
 }
 
+// starts returns the runs that everything else follows on.
+func (m *Model) starts(seed uint64) [][]model.Step {
+	if m.lines < 0 {
+		return [][]model.Step{nil}
+	}
+	return [][]model.Step{m.served(seed, false), m.served(seed, true)}
+}
+
 // Start returns the state to start from with a seed of the balancer's, counted from 1.
-func (m *Model) Start(seed uint64) (State, error) {
+// and one of the beginnings, from 0: the model of connections has two.
+func (m *Model) Start(seed uint64, which int) (State, error) {
 	if seed < 1 || seed > uint64(max(1, m.cfg.Seeds)) {
 		return State{}, fmt.Errorf("seed: %d is not within 1 to %d", seed, max(1, m.cfg.Seeds))
 	}
-	return m.play(seed, nil, nil)
+	starts := m.starts(seed)
+	if which < 0 || which >= len(starts) {
+		return State{}, fmt.Errorf("start: %d is not within 0 to %d", which, len(starts)-1)
+	}
+	s, err := m.play(seed, starts[which], nil)
+	s.which = which
+	return s, err
 }
 
 // Play takes one step. An error says why it is not possible there.
 func (m *Model) Play(s State, step model.Step) (State, error) { return m.play(s.seed, s.steps, &step) }
 
+// Which returns which of the beginnings an initial state is.
+func (s State) Which() int { return s.which }
+
 // Seed returns the seed of the balancer's that a state was reached with.
 func (s State) Seed() uint64 { return s.seed }
 
@@ -228,7 +254,7 @@
 
 // world returns a world at the start.
 func (m *Model) world(seed uint64) *script.World {
-	cfg := script.Config{Hosts: m.cfg.Gateways, Settings: m.set, Seed: seed, Wait: wait, Classes: classes,
+	cfg := script.Config{Hosts: m.cfg.Gateways, Settings: m.set, Seed: seed, Wait: wait, Classes: classes, Plant: m.cfg.Plant,
 		Rule: m.cfg.Rule}
 	if cfg.Rule == nil {
 		cfg.Rule = life.Step
@@ -272,7 +298,7 @@
 	if f.err != "" {
 		r.broken |= 1 << badRefinement
 	}
-	if q, b := w.Kept(); q != w.Live() || b > w.Live() {
+	if q, b := w.Kept(); !w.Stopped() && (q != w.Live() || b > w.Live()) {
 		r.broken |= 1 << badKept
 	}
 	r.pending = w.Owed()
@@ -340,6 +366,9 @@
 	if w.Stopped() {
 		return nil
 	}
+	if m.lines >= 0 {
+		return m.connections(w, r)
+	}
 	if n := w.Clients(); n < m.cfg.Clients {
 		for class := range 3 {
 			add(lifemodel.Ask, n, 0, class)
@@ -478,10 +507,15 @@
 		if f.err != "" {
 			return
 		}
-		o, c, g, _ := lifemodel.Decode(d)
+		o, c, g, arg := lifemodel.Decode(d)
+		if o == lifemodel.Ask && arg == script.MidFlow { // it is placed like a new one
+			d = lifemodel.Code(lifemodel.Ask, c, 0, 0)
+		}
 		if o == lifemodel.SendOff {
 			f.take(lifemodel.Code(lifemodel.Term, 0, 0, 0), "")
-			f.take(lifemodel.Code(lifemodel.ShutDoor, 0, 0, 0), "")
+			_, _, _, arg := lifemodel.Decode(d)
+			f.take(lifemodel.Code(lifemodel.ShutDoor, 0, 0, arg>>1), "")
+			d = lifemodel.Code(lifemodel.SendOff, 0, 0, 1)
 			f.leave(d)
 			continue
 		}
--- a/rehearsal/coremodel/model_test.go
+++ b/rehearsal/coremodel/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -45,3 +46,31 @@
 		}
 	}
 }
+
+func TestConnectionsHoldWhole(t *testing.T) {
+	for _, c := range []struct{ gateways, clients, notices, lines, seconds int }{{1, 2, 0, 1, 3}, {1, 1, 1, 1, 6}} {
+		m, err := NewConnections(Config{Gateways: c.gateways, Clients: c.clients, Attempts: 2, Notices: c.notices}, c.lines,
+			time.Duration(c.seconds)*time.Second)
+		require.NoError(t, err)
+		res, err := model.Check[State](m, model.Options{})
+		require.NoError(t, err)
+		if v := res.Violation; v != nil {
+			for i, s := range v.Trace.Steps {
+				t.Log(i+1, m.Describe(v.Trace.States[i], s, v.Trace.States[i+1]))
+			}
+		}
+		require.Nil(t, res.Violation)
+		assert.True(t, res.Complete)
+		t.Logf("%+v: %d states, %d steps, %d deep, %.1f s", c, res.States, res.Transitions, res.Depth, res.Seconds)
+	}
+}
+
+func TestPlantsAreFoundInConnections(t *testing.T) {
+	for _, p := range ConnectionPlants() {
+		m, err := NewConnections(Config{Gateways: 1, Clients: 1, Attempts: 2, Plant: p.Name}, 1, 6*time.Second)
+		require.NoError(t, err)
+		res, err := model.Check[State](m, model.Options{})
+		require.NoError(t, err)
+		assert.NotNil(t, res.Violation, "%s is not found", p.Name)
+	}
+}
--- a/rehearsal/coremodel/plants.go
+++ b/rehearsal/coremodel/plants.go
@@ -36,6 +36,21 @@
 // out, so that only the model of lives, whose balancer may hold for ever, shows them.
 var unreached = map[string]bool{"deadline-leaves-attempt": true}
 
+// ConnectionPlants lists the bugs that the model of connections is there for.
+func ConnectionPlants() []Plant {
+	list := []Plant{
+		{"watch-asleep", "the watch over silence never looks"},
+		{"reply-unheard", "a line of the host is not taken for a sign of life"},
+	}
+	for _, p := range lifemodel.Plants() {
+		switch p.Name {
+		case "cut-without-move", "end-without-word", "end-told-twice":
+			list = append(list, Plant(p))
+		}
+	}
+	return list
+}
+
 // plant sets the configuration up with its named bug.
 func (c *Config) plant() error {
 	for _, p := range deciders {
@@ -44,6 +59,11 @@
 			return nil
 		}
 	}
+	for _, p := range ConnectionPlants()[:2] {
+		if p.Name == c.Plant {
+			return nil // the world takes part in these
+		}
+	}
 	if !lifemodel.InRule(c.Plant) {
 		return fmt.Errorf("no bug of this model is named %q; see rehearse model list", c.Plant)
 	}
--- a/rehearsal/lifemodel/model.go
+++ b/rehearsal/lifemodel/model.go
@@ -15,6 +15,8 @@
 	NoSymmetry bool // keep the states apart that symmetry would take for one
 	Unreduced  bool // keep apart the conditions of gateways that no query touches
 	plant      plant
+	scenario   *Scenario
+	only       *[ops]bool // the steps that a scenario has; nil: all
 	rule       func(life.State, life.Event) (life.State, life.Effects)
 	depart     func(d life.Departure, after time.Duration, owed, standing int) (life.Departure, life.Order)
 }
--- a/rehearsal/lifemodel/model_test.go
+++ b/rehearsal/lifemodel/model_test.go
@@ -66,3 +66,22 @@
 	single.NoSymmetry = true
 	assert.Equal(t, reach(pair, pair), reach(&single, pair), "two clients")
 }
+
+func TestScenariosHoldAndShowWhatTheyAreFor(t *testing.T) {
+	for _, sc := range Scenarios() {
+		m, err := New(2, 1, 2, "")
+		require.NoError(t, err)
+		require.NoError(t, m.Only(sc.Name))
+		res, err := model.Check[State](m, model.Options{})
+		require.NoError(t, err)
+		require.Nil(t, res.Violation, sc.Name)
+		assert.True(t, res.Complete, sc.Name)
+		for i, name := range m.Sights() {
+			if m.Expected()>>i&1 == 1 {
+				assert.NotZero(t, res.Covered>>i&1, "%s: never seen: %s", sc.Name, name)
+			}
+		}
+	}
+	m := &Model{}
+	assert.ErrorContains(t, m.Only("x"), `no scenario is named "x"`)
+}
--- a/rehearsal/lifemodel/steps.go
+++ b/rehearsal/lifemodel/steps.go
@@ -146,7 +146,7 @@
 }
 
 // Done implements model.Model.
-func (m *Model) Done(s State) bool { return s.Stay == Stopped }
+func (m *Model) Done(s State) bool { return s.Stay == Stopped || m.only != nil }
 
 // Broken implements model.Model.
 func (m *Model) Broken(s State) uint32 {
@@ -203,6 +203,13 @@
 	if s.Stay == Stopped || s.Bad != 0 {
 		return
 	}
+	if all := yield; m.only != nil {
+		yield = func(step model.Step, next State) {
+			if o, _, _, _ := Decode(step); m.only[o] {
+				all(step, next)
+			}
+		}
+	}
 	for c := range m.Clients {
 		m.querySteps(&s, c, yield)
 	}
--- a/rehearsal/script/do.go
+++ b/rehearsal/script/do.go
@@ -21,6 +21,10 @@
 	if w.off {
 		return fmt.Errorf("the node has stopped")
 	}
+	if o == Pass {
+		w.pass(time.Duration(arg) * PassUnit)
+		return nil
+	}
 	if o < lifemodel.FallSilent || o >= Chat {
 		return w.doQuery(o, c, g, arg)
 	}
@@ -36,8 +40,8 @@
 		}
 		return nil
 	case lifemodel.SendOff:
-		w.note(o, c, g, 1)
-		pass := w.cfg.Settings.PassThrough
+		w.note(o, c, g, arg|1)
+		pass := w.cfg.Settings.PassThrough || arg>>1 == 1
 		w.say("the node sends everybody away and stops")
 		w.Core.Leave(pass)
 		w.off = true
@@ -95,6 +99,11 @@
 		}
 		return nil
 	case Chat:
+		w.say("client %d sends a line", c+1)
+		q.chats++
+		if q.askedAt == 0 && q.seen == lifemodel.Served {
+			q.askedAt = w.now
+		}
 		q.query.ClientLines([]byte("line\r\n"))
 		return nil
 	}
@@ -115,8 +124,8 @@
 	if o < lifemodel.Garble && o != lifemodel.Break && l.up {
 		return fmt.Errorf("the connection of client %d stands already", c+1)
 	}
-	w.note(o, c, g, 0)
 	if o != Reply {
+		w.note(o, c, g, 0)
 		w.say("%s, query %d: %s", l.server, c+1, o)
 	}
 	ended := func(out balance.Outcome, clean bool, seen rules.Word, word string) {
@@ -150,6 +159,12 @@
 	case lifemodel.Clog:
 		l.try.Behind()
 	case Reply:
+		w.say("%s sends client %d a line", l.server, c+1)
+		l.client.askedAt = 0
+		w.heard[l.server] = w.now
+		if w.cfg.Plant == "reply-unheard" {
+			return nil
+		}
 		l.try.Lines(fmt.Appendf(nil, "line %d\r\n", l.id))
 	default:
 		return fmt.Errorf("a world does not know %s", o)
@@ -159,6 +174,10 @@
 
 // ask lets a client come.
 func (w *World) ask(c, g, class int) error {
+	mid := class == MidFlow
+	if mid {
+		class = 0
+	}
 	if c != len(w.client) || class >= len(w.cfg.Classes) {
 		return fmt.Errorf("client %d cannot ask now, or its class %d is unknown", c+1, class)
 	}
@@ -184,10 +203,24 @@
 			w.Rules.TimeUp(w.now, c)
 		}
 	})
-	q.query = w.Core.Arrive(q, balance.Arrival{Class: w.cfg.Classes[class]}, at, wait)
+	q.query = w.Core.Arrive(q, balance.Arrival{Class: w.cfg.Classes[class], MidFlow: mid}, at, wait)
 	return nil
 }
 
+// pass lets a time pass.
+func (w *World) pass(d time.Duration) {
+	until := w.now + d
+	for i := w.next(); i >= 0 && w.timers[i].at <= until; i = w.next() {
+		w.fire(i)
+	}
+	w.now = until
+	w.checkSilence()
+}
+
+// Chats returns how many lines a client has sent, and Waits whether one of them waits for an answer.
+func (w *World) Chats(c int) int  { return w.client[c].chats }
+func (w *World) Waits(c int) bool { return w.client[c].askedAt > 0 }
+
 // advance fires the next timer. Looks for silent hosts have no effect while nobody is served, and are passed over then.
 func (w *World) advance() error {
 	for {
--- a/rehearsal/script/print.go
+++ b/rehearsal/script/print.go
@@ -28,6 +28,8 @@
 	}
 	for _, c := range w.client {
 		p.num(uint64(c.seen))
+		p.num(uint64(c.chats))
+		p.num(uint64(c.askedAt))
 		held := false
 		for _, l := range w.links {
 			held = held || l.held && l.client == c
--- /dev/null
+++ b/rehearsal/script/walk.go
@@ -0,0 +1,77 @@
+package script
+
+import (
+	"lichenhitch/balance"
+	"lichenhitch/rehearsal/lifemodel"
+	"lichenhitch/rehearsal/model"
+)
+
+// Next chooses a step that makes sense now, of all kinds, by numbers below a bound that draw gives: in fleets too large to
+// visit whole. Clients come until there are so many.
+func (w *World) Next(clients int, draw func(n int) int) model.Step {
+	code := lifemodel.Code
+	switch kind := draw(16); {
+	case kind < 3 && len(w.client) < clients:
+		return w.askAny(draw)
+	case kind < 5 && len(w.probes) > 0:
+		if draw(5) == 0 {
+			return code(AnswerProbe, 0, 0, ProbeLost+draw(2))
+		}
+		return code(AnswerProbe, 0, 0, draw(120))
+	case kind < 6 && len(w.hosts) > 0:
+		return w.tellAny(draw(len(w.hosts)), draw)
+	case kind < 8:
+		return code(Pass, 0, 0, 1+draw(4))
+	case kind < 10 || len(w.client) == 0:
+		return code(Advance, 0, 0, 0)
+	}
+	return w.clientAny(draw(len(w.client)), draw)
+}
+
+func (w *World) askAny(draw func(n int) int) model.Step {
+	n, class := len(w.client), draw(12)
+	switch {
+	case class == 0:
+		return lifemodel.Code(lifemodel.Ask, n, draw(len(w.hosts)), int(lifemodel.Inherited))
+	case class == 1:
+		return lifemodel.Code(lifemodel.Ask, n, 0, MidFlow)
+	}
+	return lifemodel.Code(lifemodel.Ask, n, 0, class%3)
+}
+
+func (w *World) tellAny(g int, draw func(n int) int) model.Step {
+	ops := []lifemodel.Op{lifemodel.TellDrain, lifemodel.TellGone, lifemodel.TellRestart}
+	switch w.hosts[g].told {
+	case balance.Draining:
+		ops = []lifemodel.Op{lifemodel.TellReady, lifemodel.TellGone, lifemodel.TellRestart}
+	case balance.Gone:
+		ops = []lifemodel.Op{lifemodel.TellBack}
+	}
+	return lifemodel.Code(ops[draw(len(ops))], 0, g, 0)
+}
+
+// clientAny chooses a step about one client's query; where there is none, time passes.
+func (w *World) clientAny(c int, draw func(n int) int) model.Step {
+	q, l := w.client[c], w.client[c].link
+	var ops []lifemodel.Op
+	switch {
+	case q.seen == lifemodel.Asking && draw(20) == 0, q.seen == lifemodel.Served && draw(8) == 0:
+		ops = append(ops, lifemodel.Leave, lifemodel.Interject)
+	case w.Held(c) && draw(4) == 0:
+		ops = append(ops, lifemodel.LateUp, lifemodel.LateEnd)
+	case l == nil:
+		return lifemodel.Code(Advance, 0, 0, 0)
+	case !l.sent:
+		ops = append(ops, lifemodel.Connect, lifemodel.Connect, lifemodel.Connect, lifemodel.NoLuck)
+	case l.up:
+		ops = append(ops, Chat, Reply, Reply, Reply, Chat, lifemodel.Break, lifemodel.Garble, lifemodel.Clog)
+	default:
+		ops = append(ops, lifemodel.SayUp, lifemodel.SayUp, lifemodel.SayUp, lifemodel.SayServed, lifemodel.SayFull,
+			lifemodel.SayError, lifemodel.Break, lifemodel.Garble)
+	}
+	g := 0
+	if l != nil {
+		g = w.hostOf(l.server)
+	}
+	return lifemodel.Code(ops[draw(len(ops))], c, g, 0)
+}
--- a/rehearsal/script/world.go
+++ b/rehearsal/script/world.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lichenhitch/balance"
+	"lichenhitch/internal/life"
 	"lichenhitch/internal/query"
 	"lichenhitch/rehearsal/lifemodel"
 	"lichenhitch/rehearsal/model"
@@ -29,6 +30,21 @@
 	Reply
 	// Expire lets time pass until the client's time is up, while nothing else happens.
 	Expire
+	// Pass lets a time pass, the argument times PassUnit, and all that is due in it.
+	Pass
+)
+
+// PassUnit is the unit of Pass.
+const PassUnit = 100 * time.Millisecond
+
+// MidFlow is the argument of Ask for a connection whose packets some other node passed on so far; its class is the first.
+const MidFlow = 16
+
+// How long a connection may bring nothing back for a line of the client's: where nothing else comes from its host, and
+// in any case. The sweep adds a moment.
+const (
+	silentFor = life.SilentAfter + 200*time.Millisecond
+	stuckFor  = life.StuckAfter + 200*time.Millisecond
 )
 
 // Codes of AnswerProbe.
@@ -53,20 +69,22 @@
 
 // World is a core with everything round it.
 type World struct {
-	Core   *query.Core
-	Rules  *rules.Checker
-	tap    *tap
-	now    time.Duration
-	cfg    Config
-	seq    int
-	timers []*timer
-	client []*client
-	links  []*link
-	hosts  []*host
-	probes []balance.ServerID
-	done   []model.Step // what was done, in the words of the model of lives
-	off    bool         // the node has stopped
-	tell   func(string) // of each thing that crosses an interface; may be nil
+	Core     *query.Core
+	Rules    *rules.Checker
+	tap      *tap
+	now      time.Duration
+	cfg      Config
+	seq      int
+	timers   []*timer
+	client   []*client
+	links    []*link
+	hosts    []*host
+	probes   []balance.ServerID
+	done     []model.Step                       // what was done, in the words of the model of lives
+	off      bool                               // the node has stopped
+	heard    map[balance.ServerID]time.Duration // when a line last came from a host
+	sweeping bool
+	tell     func(string) // of each thing that crosses an interface; may be nil
 }
 
 // start is the time at which worlds begin; clocks are never 0.
@@ -92,7 +110,7 @@
 
 // New returns a world whose hosts are all listed and ready.
 func New(cfg Config) *World {
-	w := &World{now: start, cfg: cfg}
+	w := &World{now: start, cfg: cfg, heard: map[balance.ServerID]time.Duration{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	decider, rule := cfg.Decider, cfg.Rule
 	if decider == nil {
@@ -279,7 +297,35 @@
 	case query.DueRetry:
 		w.note(lifemodel.Again, c, 0, 0)
 	}
+	if w.sweeping = t.due.Kind == query.DueSweep; w.sweeping && w.cfg.Plant == "watch-asleep" {
+		w.sweeping = false
+		return
+	}
 	w.Core.Fire(t.due)
+	w.sweeping = false
+}
+
+// hostSilent says whether some connection at a client's host has waited for a second, with nothing heard from there.
+func (w *World) hostSilent(c *client) bool {
+	for _, o := range w.client {
+		if o.askedAt > 0 && o.server == c.server && w.now-o.askedAt >= life.SilentAfter && w.heard[o.server] < o.askedAt {
+			return true
+		}
+	}
+	return false
+}
+
+// checkSilence checks that nobody is left with a host that brings nothing back.
+func (w *World) checkSilence() {
+	for _, c := range w.client {
+		if c.seen != lifemodel.Served || c.askedAt == 0 {
+			continue
+		}
+		waited := w.now - c.askedAt
+		if waited > stuckFor || waited > silentFor && w.heard[c.server] < c.askedAt {
+			w.Rules.Note(w.now, fmt.Sprintf("client %d has had no line from its host for %v, and is not moved", c.id+1, waited))
+		}
+	}
 }
 
 // Probe implements query.Servers.
@@ -294,7 +340,7 @@
 	w.links = append(w.links, l)
 	w.Rules.Begun(w.now, l.id, l.client.id, server)
 	w.say("a connection to %s is begun for query %d", server, l.client.id+1)
-	l.client.link = l
+	l.client.link, l.client.server = l, server
 	return l
 }
 
@@ -338,7 +384,10 @@
 	inherited bool
 	query     *query.Query
 	seen      lifemodel.Seen
-	link      *link // that is open
+	server    balance.ServerID // of the last connection
+	link      *link            // that is open
+	chats     int              // lines sent
+	askedAt   time.Duration    // of the oldest line that nothing came back for; 0: none
 }
 
 func (c *client) answer(a rules.Answer, by int) {
@@ -384,6 +433,13 @@
 func (c *client) End(bool) { c.end(false) }
 
 func (c *client) end(move bool) {
+	if move && c.w.sweeping {
+		c.w.note(lifemodel.MoveAway, c.id, 0, 0)
+		stuck := c.askedAt > 0 && c.w.now-c.askedAt >= life.StuckAfter
+		if !stuck && !c.w.hostSilent(c) {
+			c.w.Rules.Note(c.w.now, fmt.Sprintf("client %d is moved for silence, and its host has answered", c.id+1))
+		}
+	}
 	c.w.say("client %d is told the end of its connection, MOVE: %v", c.id+1, move)
 	c.w.Rules.Told(c.w.now, c.id, move)
 	if c.seen == lifemodel.Served {
