--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,15 @@
 # One node with the example configuration, on loopback. Without a discovery there it serves its known hosts.
 run: build
 	GW_NAME=n0 GW_CONFIG=deploy/example.json bin/lichenhitch
+
+# How fast and how far the models go, for docs/design/model.md. Takes some 15 minutes and all cores.
+.PHONY: bench-model
+bench-model: build
+	for n in 1 2 4; do GOMAXPROCS=$$n bin/rehearse model --quiet --workers $$n || exit 1; done
+	bin/rehearse model --quiet --no-symmetry
+	bin/rehearse model --gateways 4 --clients 1
+	bin/rehearse model --gateways 4 --clients 2 --memory 16384 --within 5m --no-liveness || [ $$? -eq 3 ]
+	bin/rehearse model --model core --notices 2
+	bin/rehearse model --model core --clients 2 --within 10m --memory 16384 || [ $$? -eq 3 ]
+	bin/rehearse model --model connection
+	go test ./internal/query -run '^$$' -bench Query -count 10
--- a/rehearsal/model/explore.go
+++ b/rehearsal/model/explore.go
@@ -62,6 +62,7 @@
 	live    []string
 	workers []*worker[S]
 	coverer Coverer[S] // nil where the model is none
+	sizer   Sizer[S]   // the same
 	level   [][]item[S]
 	sizes   int64 // bytes of one item
 
@@ -91,6 +92,7 @@
 	steps   uint64
 	fresh   uint64
 	covered uint64
+	beyond  int64 // bytes that the states of the next depth hold besides themselves
 }
 
 // Check visits every reachable state of a model. It returns an error only for a model or options that make no sense;
@@ -110,6 +112,7 @@
 	}
 	c := &checker[S]{m: m, opt: opt, store: newStore(opt.Memory), safety: safety, live: live, begun: time.Now()}
 	c.coverer, _ = m.(Coverer[S])
+	c.sizer, _ = m.(Sizer[S])
 	var it item[S]
 	c.sizes = int64(unsafe.Sizeof(it))
 	for range opt.Workers {
@@ -232,13 +235,15 @@
 // turn makes what was found the depth to be expanded next, and returns how many states that is.
 func (c *checker[S]) turn() uint64 {
 	c.level = c.level[:0]
-	n := uint64(0)
+	n, beyond := uint64(0), int64(0)
 	for _, w := range c.workers {
 		if len(w.next) > 0 {
 			c.level = append(c.level, w.next)
 			n += uint64(len(w.next))
 		}
 		w.next = nil
+		beyond += w.beyond
+		w.beyond = 0
 	}
 	c.mu.Lock()
 	if n > 0 && c.transitions.Load() > 0 {
@@ -248,7 +253,7 @@
 	c.mu.Unlock()
 	c.left.Store(int64(n))
 	c.found.Store(0)
-	bytes := int64(n) * c.sizes
+	bytes := int64(n)*c.sizes + beyond
 	for _, w := range c.workers {
 		bytes += w.edges.bytes
 	}
@@ -279,7 +284,7 @@
 				sp := spans[n]
 				before, steps, fresh := len(w.next), w.steps, w.fresh
 				grown := cap(w.next)
-				held := w.edges.bytes
+				held := w.edges.bytes + w.beyond
 				for i := sp.from; i < sp.to; i++ {
 					w.expand(&c.level[sp.list][i])
 				}
@@ -287,7 +292,7 @@
 				c.found.Add(int64(len(w.next) - before))
 				c.transitions.Add(w.steps - steps)
 				c.states.Add(w.fresh - fresh)
-				more := c.extra.Add(int64(cap(w.next)-grown)*c.sizes + w.edges.bytes - held)
+				more := c.extra.Add(int64(cap(w.next)-grown)*c.sizes + w.edges.bytes + w.beyond - held)
 				switch states := c.states.Load(); {
 				case more+c.store.bytes.Load() > c.opt.Memory:
 					c.halt(fmt.Sprintf("the memory of %d MiB is full", c.opt.Memory>>20))
@@ -362,6 +367,9 @@
 	if c.coverer != nil {
 		w.covered |= c.coverer.Covered(n.state)
 	}
+	if c.sizer != nil {
+		w.beyond += int64(c.sizer.Size(n.state))
+	}
 	if b := c.m.Broken(n.state); b != 0 {
 		for i, name := range c.safety {
 			if b>>i&1 == 1 {
--- a/rehearsal/model/model.go
+++ b/rehearsal/model/model.go
@@ -53,6 +53,12 @@
 	Sights() []string
 }
 
+// Sizer is a model whose states hold more than their own size, which counts for the bound on memory.
+type Sizer[S any] interface {
+	// Size returns how many bytes s holds besides itself.
+	Size(s S) int
+}
+
 // Verdict is what is known of a property.
 type Verdict int
 
--- a/rehearsal/script/walk.go
+++ b/rehearsal/script/walk.go
@@ -10,22 +10,28 @@
 // visit whole. Clients come until there are so many.
 func (w *World) Next(clients int, draw func(n int) int) model.Step {
 	code := lifemodel.Code
-	switch kind := draw(16); {
-	case kind < 3 && len(w.client) < clients:
+	var live []int
+	for c, q := range w.client {
+		if q.link != nil || q.seen == lifemodel.Asking || w.Held(c) {
+			live = append(live, c)
+		}
+	}
+	switch kind := draw(32); {
+	case kind < 4 && len(w.client) < clients:
 		return w.askAny(draw)
-	case kind < 5 && len(w.probes) > 0:
-		if draw(5) == 0 {
+	case kind < 12 && len(w.probes) > 0:
+		if draw(12) == 0 {
 			return code(AnswerProbe, 0, 0, ProbeLost+draw(2))
 		}
-		return code(AnswerProbe, 0, 0, draw(120))
-	case kind < 6 && len(w.hosts) > 0:
+		return code(AnswerProbe, 0, 0, draw(90))
+	case kind < 13:
 		return w.tellAny(draw(len(w.hosts)), draw)
-	case kind < 8:
+	case kind < 14:
 		return code(Pass, 0, 0, 1+draw(4))
-	case kind < 10 || len(w.client) == 0:
+	case kind < 16 || len(live) == 0:
 		return code(Advance, 0, 0, 0)
 	}
-	return w.clientAny(draw(len(w.client)), draw)
+	return w.clientAny(live[draw(len(live))], draw)
 }
 
 func (w *World) askAny(draw func(n int) int) model.Step {
--- a/rehearsal/walk/walk_test.go
+++ b/rehearsal/walk/walk_test.go
@@ -4,6 +4,8 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,6 +101,30 @@
 	})
 }
 
+// TestWalksGetSomewhere makes sure that the walks come across what they are for.
+func TestWalksGetSomewhere(t *testing.T) {
+	seen := map[string]int{}
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		w := world(0, seed)
+		w.Tell(func(l string) {
+			for _, what := range []string{"answered UP", "answered BUSY", "answered FAIL", "answered ERR", "answered BYE",
+				"MOVE: true", "MOVE: false", "speaks of an attempt", "tell-restart", "tell-drain", "the limit of", "times out"} {
+				if strings.Contains(l, what) {
+					seen[what]++
+				}
+			}
+		})
+		if err := walk(w, 400, rng.IntN); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+	t.Log(seen)
+	if len(seen) != 12 {
+		t.Errorf("only %v was seen", seen)
+	}
+}
+
 // FuzzWalk reads a walk from bytes: eight of the balancer's seed, then one for each choice.
 func FuzzWalk(f *testing.F) {
 	f.Add([]byte("\x00\x00\x00\x00\x00\x00\x00\x01"))
