A test that a server which started again is not held to its past

Need: of ten places broken by hand so far, one was caught by no test: balance keeping what it knew of a server over its restart.

Change: a unit test: a server set aside is chosen again once discovery tells a new start.

Measured: the test fails with the forgetting taken out, and passes as it is.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1004,3 +1004,29 @@
 		t.Error("another seed gives the same actions: chance does not come from it")
 	}
 }
+
+// What was known of a server goes with its old life: one that was set aside, and has started again since, is chosen like
+// any other.
+func TestAServerThatStartedAgainIsNotHeldToItsPast(t *testing.T) {
+	set := settings()
+	set.Safety.ColdFor = 0
+	d := drive(t, set, 1)
+	d.fleet(0.1, 0.2)
+	if at := placed(d.arrive(1, "safe", sec)); at != "a" {
+		t.Fatalf("placed on %q", at)
+	}
+	if at := placed(d.end(1, 0, balance.Unreachable, false)); at != "b" {
+		t.Fatalf("placed on %q after a could not be reached", at)
+	}
+	for id := balance.RequestID(2); id < 6; id++ {
+		if at := placed(d.arrive(id, "safe", sec)); at != "b" {
+			t.Fatalf("placed on %q while a is set aside", at)
+		}
+	}
+	again := listing("a", "here", 0)
+	again.Started = d.now
+	d.do(balance.ServerList{Kind: balance.ListChanges, Entries: []balance.Listing{again}})
+	if at := placed(d.arrive(6, "safe", sec)); at != "a" {
+		t.Fatalf("placed on %q, though a has started again and is the emptier one", at)
+	}
+}
