A test that actions are carried out before the balancer hears the next event

Need: a feed that was made re-entrant by hand was caught by no test.

Change: a decider that answers in one buffer, as the real one does, moves three clients in one answer.

Measured: the test fails with the guard in feed taken out (one client of three is moved), and passes as it is.

--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"lichenhitch/balance"
+	"lichenhitch/internal/life"
 )
 
 // world stands in for the clock, the servers, the host group and one client.
@@ -157,3 +158,42 @@
 	assert.Equal(t, []string{"fail"}, w.answers)
 	assert.Empty(t, c.queries)
 }
+
+// reusing is a decider that, as the real one, answers in one buffer, which the next call overwrites.
+type reusing struct {
+	out  []balance.Action
+	say  []balance.Action // on the next Woken
+	seen []string
+}
+
+func (r *reusing) Handle(_ time.Duration, ev balance.Event) []balance.Action {
+	r.out = r.out[:0]
+	switch e := ev.(type) {
+	case balance.Arrival:
+		r.out = append(r.out, balance.Place{Request: e.Request, Server: "a", Timeout: time.Second})
+	case balance.Woken:
+		r.out = append(r.out, r.say...)
+	case balance.Ended:
+		r.seen = append(r.seen, "ended")
+		r.out = append(r.out, balance.Wake{After: time.Hour, Token: 1}, balance.Wake{After: time.Hour, Token: 2})
+	}
+	return r.out
+}
+
+func TestActionsAreCarriedOutBeforeTheNextEventIsTold(t *testing.T) {
+	w := &world{now: time.Hour}
+	r := &reusing{}
+	c := Build(slog.New(slog.NewTextHandler(io.Discard, nil)), w, balance.Settings{}, r, life.Step)
+	w.core = c
+	c.Connect(w, w)
+	for range 3 {
+		w.arrive(c, "")
+		w.last.Up(nil)
+	}
+	w.answers = nil
+	r.say = []balance.Action{balance.Move{Request: 1}, balance.Move{Request: 2}, balance.Move{Request: 3}}
+	c.Fire(Due{Kind: DueWake})
+	assert.Equal(t, []string{"move", "move", "move"}, w.answers)
+	assert.Len(t, r.seen, 3, "each end is told once")
+	assert.Zero(t, c.Standing())
+}
