--- a/rehearsal/coremodel/model_test.go
+++ b/rehearsal/coremodel/model_test.go
@@ -34,6 +34,14 @@
 	t.Logf("%d states, %d steps, %d deep, %.1f s", res.States, res.Transitions, res.Depth, res.Seconds)
 }
 
+// TestAQueryIsHeldWhileNoGatewayIsReady takes the one gateway away, before the query comes or later, and brings it back.
+func TestAQueryIsHeldWhileNoGatewayIsReady(t *testing.T) {
+	_, res := check(t, Config{Gateways: 1, Clients: 1, Attempts: 2, Notices: 2, Seeds: 1}, model.Options{})
+	require.Nil(t, res.Violation)
+	assert.True(t, res.Complete)
+	t.Logf("%d states, %d steps, %d deep, %.1f s", res.States, res.Transitions, res.Depth, res.Seconds)
+}
+
 // TestPlantsAreFoundInTheRunningCode plants each bug into the rule or the balancer of the running code.
 func TestPlantsAreFoundInTheRunningCode(t *testing.T) {
 	for _, p := range Plants() {
