What comes with an event goes on whole, and hosts also vanish from whole lists

Need: places in query.go where a break would pass unseen: the advice of a refusal, a clean or broken end, times, reports, drains told twice; notices reached the models as changes only.

Change: unit tests of what each call hands on, of the guard's advice and of the drain's clock; in the running-code model a gateway is taken off by its absence from a whole list, and walks draw either form.

--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -197,3 +197,145 @@
 	assert.Len(t, r.seen, 3, "each end is told once")
 	assert.Zero(t, c.Standing())
 }
+
+// told is a decider that keeps what it hears and says what it is told to on the next Woken.
+type told struct {
+	heard []balance.Event
+	say   []balance.Action
+}
+
+func (d *told) Handle(_ time.Duration, ev balance.Event) []balance.Action {
+	d.heard = append(d.heard, ev)
+	if e, ok := ev.(balance.Arrival); ok {
+		return []balance.Action{balance.Place{Request: e.Request, Server: "a", Timeout: time.Second}}
+	}
+	if _, ok := ev.(balance.Woken); ok {
+		return d.say
+	}
+	return nil
+}
+
+// last returns what was heard last.
+func (d *told) last() balance.Event { return d.heard[len(d.heard)-1] }
+
+// noting is a client that keeps how it was treated.
+type noting struct {
+	world
+	after  time.Duration
+	clean  []bool
+	reason error
+}
+
+func (n *noting) Throttle(after time.Duration) { n.after = after }
+func (n *noting) End(clean bool)               { n.clean = append(n.clean, clean) }
+func (n *noting) Reject(reason error)          { n.reason = reason }
+
+// endings is a server side whose attempts keep how they were ended.
+type endings struct {
+	world
+	clean []bool
+	lines int
+}
+
+func (e *endings) Attempt(t Try, _ balance.ServerID, _ time.Duration) Attempt {
+	e.last = t
+	return e
+}
+func (e *endings) Pass([]byte)    { e.lines++ }
+func (e *endings) End(clean bool) { e.clean = append(e.clean, clean) }
+
+func newTold() (*world, *Core, *told, *endings) {
+	w, d, e := &world{now: time.Hour}, &told{}, &endings{}
+	c := Build(slog.New(slog.NewTextHandler(io.Discard, nil)), w, balance.Settings{MaxRetryAfter: 400 * time.Millisecond},
+		d, life.Step)
+	w.core = c
+	c.Connect(e, w)
+	return w, c, d, e
+}
+
+func TestWhatComesWithAnEventGoesOn(t *testing.T) {
+	w, c, d, e := newTold()
+	n := &noting{}
+	arrive := func() *Query { return c.Arrive(n, balance.Arrival{Class: "chat"}, "", 2*time.Second) }
+	arrival := func() balance.Arrival { return d.last().(balance.Arrival) }
+
+	q := arrive()
+	assert.Equal(t, 1990*time.Millisecond, arrival().TimeLeft, "10 ms are for the answer's way")
+	e.last.Load(7)
+	assert.IsType(t, balance.Arrival{}, d.last(), "no load before it is up")
+	w.now += 30 * time.Millisecond
+	e.last.Up([]byte("UP"))
+	assert.Equal(t, balance.Established{Request: 1, Took: 30 * time.Millisecond}, d.last())
+	e.last.Load(7)
+	assert.Equal(t, balance.LoadChanged{Request: 1, Load: 7}, d.last())
+	q.ClientLines([]byte("x"))
+	assert.Equal(t, 1, e.lines)
+	w.now += 5 * time.Millisecond
+	q.ClientGone(false)
+	assert.Equal(t, []bool{false}, e.clean, "broken, as the client's side was")
+	assert.Equal(t, balance.Ended{Request: 1, Outcome: balance.Cancelled, Took: 35 * time.Millisecond, Final: true}, d.last())
+
+	arrive()
+	e.last.Up(nil)
+	report := balance.Report{Known: balance.HasRatio, Ratio: 0.5}
+	e.last.Ended(balance.Reset, false, report, nil)
+	assert.Equal(t, []bool{false}, n.clean, "broken, as the host's side was")
+	assert.Equal(t, balance.Ended{Request: 2, Outcome: balance.Reset, Final: true, Report: report}, d.last())
+
+	arrive()
+	e.last.Ended(balance.Full, true, report, nil)
+	assert.Equal(t, balance.Ended{Request: 3, Outcome: balance.Full, Report: report}, d.last())
+	d.say = []balance.Action{balance.Refuse{Request: 3, RetryAfter: 70 * time.Millisecond}}
+	c.Fire(Due{Kind: DueWake})
+	assert.Equal(t, 70*time.Millisecond, n.after)
+
+	q = arrive()
+	q.ClientFaulty(io.ErrUnexpectedEOF)
+	assert.Equal(t, io.ErrUnexpectedEOF, n.reason)
+
+	c.Probed("a", balance.OK, time.Second, report)
+	assert.Equal(t, balance.Probed{Server: "a", Outcome: balance.OK, Took: time.Second, Report: report}, d.last())
+}
+
+// One whose time runs out unheard is told when to come back, and no later than clients heed.
+func TestTheGuardSaysWhenToComeBack(t *testing.T) {
+	w, c, _, _ := newTold()
+	n := &noting{}
+	c.balancer = silence{}
+	c.Arrive(n, balance.Arrival{Class: "chat"}, "", 2*time.Second)
+	w.pass(1994 * time.Millisecond)
+	assert.Zero(t, n.after)
+	w.pass(time.Millisecond)
+	assert.Equal(t, 400*time.Millisecond, n.after)
+}
+
+type silence struct{}
+
+func (silence) Handle(time.Duration, balance.Event) []balance.Action { return nil }
+
+func TestAHostIsDrainedFromTheFirstNoticeOn(t *testing.T) {
+	w, c, _, _ := newTold()
+	entry := func(s balance.State, started time.Duration) balance.Listing {
+		return balance.Listing{Server: "a", State: s, Started: started}
+	}
+	change := func(l balance.Listing) { c.List(balance.ListChanges, []balance.Listing{l}) }
+	change(entry(balance.Ready, 0))
+	assert.False(t, c.drained("a"))
+	change(entry(balance.Draining, 0))
+	w.now += time.Second
+	change(entry(balance.Draining, 0)) // told again
+	w.now += 949 * time.Millisecond
+	assert.False(t, c.drained("a"))
+	w.now += time.Millisecond
+	assert.True(t, c.drained("a"))
+	c.List(balance.ListFailed, nil)
+	assert.True(t, c.drained("a"), "a call that failed tells nothing")
+	change(entry(balance.Ready, 0))
+	assert.False(t, c.drained("a"), "taken back")
+	c.List(balance.ListWhole, nil) // it is missing
+	w.now += 2 * time.Second
+	assert.True(t, c.drained("a"))
+	change(entry(balance.Draining, 5)) // another life of it
+	assert.False(t, c.drained("a"))
+	assert.False(t, c.drained("unheard of"))
+}
--- a/rehearsal/coremodel/model.go
+++ b/rehearsal/coremodel/model.go
@@ -431,7 +431,11 @@
 	for g := range m.cfg.Gateways {
 		add := func(ops ...lifemodel.Op) {
 			for _, o := range ops {
-				list = append(list, lifemodel.Code(o, 0, g, 0))
+				arg := 0
+				if o == lifemodel.TellGone { // told by its absence: the harder way to hear of it
+					arg = script.Whole
+				}
+				list = append(list, lifemodel.Code(o, 0, g, arg))
 			}
 		}
 		switch w.Told(g) {
--- a/rehearsal/script/do.go
+++ b/rehearsal/script/do.go
@@ -51,7 +51,7 @@
 	if g >= len(w.hosts) {
 		return fmt.Errorf("there is no gateway %d", g+1)
 	}
-	return w.doHost(o, g)
+	return w.doHost(o, g, arg)
 }
 
 // doQuery takes a step about one client's query.
@@ -333,8 +333,11 @@
 	return nil
 }
 
+// Whole is the argument of a notice that comes as the whole list rather than as a change.
+const Whole = 1
+
 // doHost takes a step about a host: what discovery tells. What befalls the host itself shows on its connections only.
-func (w *World) doHost(o lifemodel.Op, g int) error {
+func (w *World) doHost(o lifemodel.Op, g, arg int) error {
 	h := w.hosts[g]
 	old := h.told
 	anew := false
@@ -381,10 +384,24 @@
 	if w.cfg.Plant == "drain-lost" && o == lifemodel.TellDrain && w.linked(h.Server) {
 		return nil
 	}
-	w.Core.List(balance.ListChanges, []balance.Listing{h.Listing})
+	if arg == Whole {
+		w.Core.List(balance.ListWhole, w.whole())
+	} else {
+		w.Core.List(balance.ListChanges, []balance.Listing{h.Listing})
+	}
 	return nil
 }
 
+// whole is discovery's whole list; a host that is gone is not in it.
+func (w *World) whole() (list []balance.Listing) {
+	for _, h := range w.hosts {
+		if h.told != balance.Gone {
+			list = append(list, h.Listing)
+		}
+	}
+	return list
+}
+
 func (w *World) linked(s balance.ServerID) bool {
 	for _, l := range w.links {
 		if l.open && l.server == s {
--- a/rehearsal/script/walk.go
+++ b/rehearsal/script/walk.go
@@ -53,7 +53,7 @@
 	case balance.Gone:
 		ops = []lifemodel.Op{lifemodel.TellBack}
 	}
-	return lifemodel.Code(ops[draw(len(ops))], 0, g, 0)
+	return lifemodel.Code(ops[draw(len(ops))], 0, g, draw(2)*Whole)
 }
 
 // clientAny chooses a step about one client's query; where there is none, time passes.
