Replays tell the time from the start, number queries alike and say what is wrong in one way

Need: a reader of a replay met queries numbered from 0 beside clients numbered from 1, times of an hour's offset, and 'is open, or is not'.

Change: rules count from the start of the world and number from 1; each mismatch has its own words; sights are told as not seen for complete runs only.

--- a/cmd/rehearse/model.go
+++ b/cmd/rehearse/model.go
@@ -145,8 +145,10 @@
 	for _, f := range r.Properties {
 		fmt.Fprintf(out, "%-9s %s\n", f.Verdict, f.Name)
 	}
-	for _, s := range r.NotSeen {
-		fmt.Fprintf(out, "not seen  %s\n", s)
+	if r.Complete {
+		for _, s := range r.NotSeen {
+			fmt.Fprintf(out, "not seen  %s\n", s)
+		}
 	}
 	fmt.Fprintln(out)
 	switch {
--- a/rehearsal/coremodel/model.go
+++ b/rehearsal/coremodel/model.go
@@ -487,7 +487,7 @@
 	f.follow(w.Done())
 	f.compare(w, m.cfg.Clients)
 	for _, b := range w.Broken() {
-		lines = append(lines, "BROKEN at "+b)
+		lines = append(lines, "BROKEN "+b)
 	}
 	if f.err != "" {
 		lines = append(lines, "NOT IN THE MODEL OF LIVES: "+f.err)
--- a/rehearsal/rules/rules.go
+++ b/rehearsal/rules/rules.go
@@ -14,7 +14,8 @@
 type Limits struct {
 	DrainGrace  time.Duration // nothing is sent to a host this long after its drain was told
 	MaxAttempts int
-	Balanced    bool // attempts are placed by the node's own decisions, which go to ready hosts only
+	Start       time.Duration // the time that is told as 0
+	Balanced    bool          // attempts are placed by the node's own decisions, which go to ready hosts only
 }
 
 // Answer is how a client was answered.
@@ -100,7 +101,7 @@
 func (c *Checker) Broken() []string { return c.broken }
 
 func (c *Checker) fail(now time.Duration, format string, args ...any) {
-	c.broken = append(c.broken, fmt.Sprintf("%v: ", now)+fmt.Sprintf(format, args...))
+	c.broken = append(c.broken, fmt.Sprintf("after %v: ", now-c.limits.Start)+fmt.Sprintf(format, args...))
 }
 
 // Fingerprint appends bytes that tell apart what the rules depend on. What was answered and done with is left out.
@@ -134,23 +135,23 @@
 	q := c.queries[id]
 	switch {
 	case q.gone:
-		c.fail(now, "query %d is answered %s after its client has gone", id, a)
+		c.fail(now, "query %d is answered %s after its client has gone", id+1, a)
 	case q.answered:
-		c.fail(now, "query %d is answered a second time: %s", id, a)
+		c.fail(now, "query %d is answered a second time: %s", id+1, a)
 	case now > q.until || q.late:
-		c.fail(now, "query %d is answered %s %v after its client's time was up", id, a, now-q.until)
+		c.fail(now, "query %d is answered %s %v after its client's time was up", id+1, a, now-q.until)
 	}
 	q.answered = true
 	q.served = a == Up
 	switch a {
 	case Up:
 		if l := c.links[by]; l == nil || l.query != id || !l.open || !l.hostUp {
-			c.fail(now, "query %d is served with what its host did not say", id)
+			c.fail(now, "query %d is served with what its host did not say", id+1)
 		}
 	case Throttled:
 		if q.mayRun >= 0 && (q.class.Effect == balance.Unsafe || q.class.Effect == balance.Keyed &&
 			q.class.Group != balance.GroupAll) {
-			c.fail(now, "query %d, class %s, is refused though an attempt may have run", id, q.class.Name)
+			c.fail(now, "query %d, class %s, is refused though an attempt may have run", id+1, q.class.Name)
 		}
 	}
 }
@@ -159,7 +160,7 @@
 func (c *Checker) TimeUp(now time.Duration, id int) {
 	if q := c.queries[id]; !q.answered && !q.gone {
 		q.late = true
-		c.fail(now, "query %d has no answer when its client's time is up", id)
+		c.fail(now, "query %d has no answer when its client's time is up", id+1)
 	}
 }
 
@@ -171,11 +172,11 @@
 	q := c.queries[id]
 	switch {
 	case !q.served:
-		c.fail(now, "query %d is moved or ended without having been served", id)
+		c.fail(now, "query %d is moved or ended without having been served", id+1)
 	case q.moved:
-		c.fail(now, "query %d is told its end twice", id)
+		c.fail(now, "query %d is told its end twice", id+1)
 	case !move && q.link >= 0 && !c.links[q.link].ended:
-		c.fail(now, "query %d is cut off without MOVE while its host still answers", id)
+		c.fail(now, "query %d is cut off without MOVE while its host still answers", id+1)
 	}
 	q.moved = true
 }
@@ -189,20 +190,20 @@
 	}
 	c.links[linkID] = l
 	if q.link >= 0 {
-		c.fail(now, "query %d has two attempts out, at %s and %s", id, c.links[q.link].host, server)
+		c.fail(now, "query %d has two attempts out, at %s and %s", id+1, c.links[q.link].host, server)
 	}
 	if q.answered || q.gone || q.late {
-		c.fail(now, "an attempt at %s for query %d, which is over", server, id)
+		c.fail(now, "an attempt at %s for query %d, which is over", server, id+1)
 	}
 	q.link = linkID
 	if q.inherited {
 		return
 	}
 	if q.attempts++; q.attempts > c.limits.MaxAttempts {
-		c.fail(now, "query %d has attempt %d of %d", id, q.attempts, c.limits.MaxAttempts)
+		c.fail(now, "query %d has attempt %d of %d", id+1, q.attempts, c.limits.MaxAttempts)
 	}
 	if c.limits.Balanced && (h == nil || !h.listed || h.listing.State != balance.Ready) {
-		c.fail(now, "query %d is placed on %s, which is not ready", id, server)
+		c.fail(now, "query %d is placed on %s, which is not ready", id+1, server)
 	}
 	c.checkRepeat(now, id, q, l)
 }
@@ -215,11 +216,11 @@
 	first := c.links[q.mayRun]
 	switch {
 	case q.class.Effect == balance.Unsafe:
-		c.fail(now, "query %d, class %s, is repeated though an attempt may have run", id, q.class.Name)
+		c.fail(now, "query %d, class %s, is repeated though an attempt may have run", id+1, q.class.Name)
 	case q.class.Group == balance.GroupZone && l.zone != first.zone, q.class.Group == balance.GroupCell && l.cell != first.cell:
-		c.fail(now, "query %d, class %s, is repeated outside the group of its first attempt", id, q.class.Name)
+		c.fail(now, "query %d, class %s, is repeated outside the group of its first attempt", id+1, q.class.Name)
 	case now > first.begun+q.class.Window:
-		c.fail(now, "query %d, class %s, is repeated after its window", id, q.class.Name)
+		c.fail(now, "query %d, class %s, is repeated after its window", id+1, q.class.Name)
 	}
 }
 
@@ -229,7 +230,7 @@
 	l.sent = true
 	h := c.hosts[l.host]
 	if h != nil && h.drained >= 0 && now > h.drained+c.limits.DrainGrace {
-		c.fail(now, "%s is sent query %d %v after its drain was told", l.host, l.query, now-h.drained)
+		c.fail(now, "%s is sent query %d %v after its drain was told", l.host, l.query+1, now-h.drained)
 	}
 	if !l.open {
 		c.fail(now, "a closed connection to %s is written to", l.host)
@@ -267,7 +268,7 @@
 // Passed says that lines of a link reach a client, or the other way round.
 func (c *Checker) Passed(now time.Duration, linkID, id int) {
 	if l := c.links[linkID]; l == nil || l.query != id || !c.queries[id].served {
-		c.fail(now, "lines pass between query %d and a host that does not hold it", id)
+		c.fail(now, "lines pass between query %d and a host that does not hold it", id+1)
 	}
 }
 
@@ -297,10 +298,10 @@
 	for id, q := range c.queries {
 		over := q.gone || q.moved || q.answered && !q.served
 		if over && q.link >= 0 {
-			c.fail(now, "query %d is over, and its connection to %s is left open", id, c.links[q.link].host)
+			c.fail(now, "query %d is over, and its connection to %s is left open", id+1, c.links[q.link].host)
 		}
 		if q.served && !over && q.link < 0 {
-			c.fail(now, "query %d was served, its connection to the host is closed, and its client is not told", id)
+			c.fail(now, "query %d was served, its connection to the host is closed, and its client is not told", id+1)
 		}
 	}
 }
@@ -311,9 +312,9 @@
 		switch {
 		case q.gone:
 		case !q.answered:
-			c.fail(now, "query %d has no answer when the node stops", id)
+			c.fail(now, "query %d has no answer when the node stops", id+1)
 		case q.served && !q.moved && !passThrough:
-			c.fail(now, "query %d is cut off without MOVE when the node stops", id)
+			c.fail(now, "query %d is cut off without MOVE when the node stops", id+1)
 		}
 	}
 }
--- a/rehearsal/script/do.go
+++ b/rehearsal/script/do.go
@@ -457,18 +457,19 @@
 func (w *World) checkClient(c *client, running map[query.DueKind]bool) {
 	q := c.query.State()
 	for _, fit := range []struct {
-		ok   bool
-		what string
+		is, should bool
+		yes, no    string // what is wrong when it is so, and when it is not
 	}{
-		{q.Owed() == (c.seen == lifemodel.Asking), "and its client waits for an answer, or does not, against that"},
-		{(q.Phase == life.Up) == (c.seen == lifemodel.Served), "and its client is served, or is not, against that"},
-		{q.Out() == (c.link != nil), "and a connection to a host is open, or is not, against that"},
-		{running[query.DueGuard] == q.Owed(), "and the guard of its deadline runs, or does not, against that"},
-		{running[query.DueAttempt] == (q.Phase == life.Trying), "and the time-out of an attempt runs, or does not, against that"},
-		{running[query.DueRetry] == (q.Phase == life.Waiting && q.Inherited), "and the pause between two tries runs, or does not"},
+		{c.seen == lifemodel.Asking, q.Owed(), "its client waits for an answer", "its client does not wait for an answer"},
+		{c.seen == lifemodel.Served, q.Phase == life.Up, "its client is served", "its client is not served"},
+		{c.link != nil, q.Out(), "a connection to a host is open", "no connection to a host is open"},
+		{running[query.DueGuard], q.Owed(), "the guard of its deadline runs", "no guard of its deadline runs"},
+		{running[query.DueAttempt], q.Phase == life.Trying, "the time-out of an attempt runs", "no time-out of its attempt runs"},
+		{running[query.DueRetry], q.Phase == life.Waiting && q.Inherited, "the pause between two tries runs",
+			"no pause between two tries runs"},
 	} {
-		if !fit.ok {
-			w.Rules.Note(w.now, fmt.Sprintf("query %d is %s, %s", c.id+1, q.Phase, fit.what))
+		if fit.is != fit.should {
+			w.Rules.Note(w.now, fmt.Sprintf("query %d is %s, and %s", c.id+1, q.Phase, map[bool]string{true: fit.yes, false: fit.no}[fit.is]))
 		}
 	}
 	if b := w.tap.books[balance.RequestID(c.id+1)]; b != nil && b.pending != q.Out() {
--- a/rehearsal/script/world.go
+++ b/rehearsal/script/world.go
@@ -119,7 +119,7 @@
 	if rule == nil {
 		rule = lifemodel.Rule(cfg.Plant)
 	}
-	w.Rules = rules.New(rules.Limits{DrainGrace: grace(cfg.Settings) + 50*time.Millisecond,
+	w.Rules = rules.New(rules.Limits{Start: start, DrainGrace: grace(cfg.Settings) + 50*time.Millisecond,
 		MaxAttempts: max(1, cfg.Settings.MaxAttempts), Balanced: cfg.Decider == nil || cfg.Strict}, cfg.Settings.Classes)
 	w.tap = &tap{w, decider, map[balance.RequestID]*entry{}}
 	w.Core = query.Build(log, w, cfg.Settings, w.tap, rule)
