Promises are checked within the bound on memory, and large parts of a graph without maps

Need: the bound on memory did not count what the check of promises takes, and a part of millions of states was kept in a map.

Change: the need is known beforehand and a run that exceeds it says so, with the safety properties judged; parts are marked in a bit set.

--- a/rehearsal/model/explore.go
+++ b/rehearsal/model/explore.go
@@ -221,9 +221,8 @@
 	liveDone := false
 	if worst != nil {
 		res.Violation = &Violation[S]{Property: worst.property, Trace: c.trace(worst.id)}
-	} else if res.Complete && !c.opt.NoLiveness && len(c.live) > 0 {
+	} else if res.Complete && !c.opt.NoLiveness && len(c.live) > 0 && c.roomForLiveness(res) {
 		begun := time.Now()
-		c.level = nil
 		res.Violation = c.checkLiveness()
 		res.LiveSeconds = time.Since(begun).Seconds()
 		liveDone = true
@@ -232,6 +231,18 @@
 	return res
 }
 
+// roomForLiveness says whether the promises can be checked within the memory allowed. Where not, the result says so.
+func (c *checker[S]) roomForLiveness(res *Result[S]) bool {
+	c.level = nil
+	need := c.store.bytes.Load() + c.extra.Load() + livenessBytes(c.store.places(), len(c.live))
+	if need <= c.opt.Memory {
+		return true
+	}
+	res.Complete = false
+	res.Stopped = fmt.Sprintf("all states were visited, and the promises need %d MiB of %d", need>>20, c.opt.Memory>>20)
+	return false
+}
+
 // turn makes what was found the depth to be expanded next, and returns how many states that is.
 func (c *checker[S]) turn() uint64 {
 	c.level = c.level[:0]
@@ -407,7 +418,7 @@
 		case res.Violation != nil && res.Violation.Property == name:
 			return Violated
 		case live && liveDone && (res.Violation == nil || c.before(name, res.Violation.Property)),
-			!live && (res.Complete || liveDone):
+			!live && (res.Complete || liveDone || c.reason == "" && res.Violation == nil):
 			return Holds
 		}
 		return Unknown
--- a/rehearsal/model/liveness.go
+++ b/rehearsal/model/liveness.go
@@ -5,6 +5,27 @@
 	"sync"
 )
 
+// bitset is a set of states by their numbers.
+type bitset []uint64
+
+func newBitset(n int) bitset        { return make(bitset, (n+63)/64) }
+func (b bitset) has(id uint32) bool { return b[id>>6]>>(id&63)&1 == 1 }
+func (b bitset) add(list []uint32) {
+	for _, id := range list {
+		b[id>>6] |= 1 << (id & 63)
+	}
+}
+func (b bitset) remove(list []uint32) {
+	for _, id := range list {
+		b[id>>6] &^= 1 << (id & 63)
+	}
+}
+
+// livenessBytes is what the check of promises takes for so many places of states.
+func livenessBytes(places uint32, promises int) int64 {
+	return int64(places) * int64(8+9*promises) // where; index, low and a bit for each promise
+}
+
 // graph is the part of the state graph in which promises are pending.
 type graph struct {
 	store *store
@@ -67,6 +88,7 @@
 func (c *checker[S]) tarjan(g *graph, bit uint8) *Trace[S] {
 	n := len(g.where)
 	index, low := make([]uint32, n), make([]uint32, n) // index 0: not visited; low of a finished state: noState
+	inPart := newBitset(n)
 	var stack []uint32
 	type frame struct {
 		id   uint32
@@ -114,7 +136,7 @@
 				at--
 			}
 			part := stack[at:]
-			if t := c.judge(g, part, bit); t != nil {
+			if t := c.judge(g, part, inPart); t != nil {
 				return t
 			}
 			for _, member := range part {
@@ -127,7 +149,8 @@
 }
 
 // judge returns a run that stays in a strongly connected part for ever, if there is a fair one, or that ends there.
-func (c *checker[S]) judge(g *graph, part []uint32, bit uint8) *Trace[S] {
+// The bitset is empty before and after.
+func (c *checker[S]) judge(g *graph, part []uint32, in bitset) *Trace[S] {
 	if len(part) == 1 {
 		if l, _ := g.list(part[0]); l != nil && l.end {
 			t := c.trace(part[0])
@@ -137,16 +160,14 @@
 			return nil
 		}
 	}
-	in := make(map[uint32]bool, len(part))
-	for _, id := range part {
-		in[id] = true
-	}
+	in.add(part)
+	defer in.remove(part)
 	all, taken := ^Fairness(0), Fairness(0)
 	for _, id := range part {
 		to, class, enabled := g.of(id)
 		all &= enabled
 		for i, next := range to {
-			if in[next] {
+			if in.has(next) {
 				taken |= class[i]
 			}
 		}
@@ -159,7 +180,7 @@
 
 // lasso builds a run into a part and once round it, past whatever makes it fair: a step of each class that is enabled
 // everywhere, and for each other class a state in which it is not.
-func (c *checker[S]) lasso(g *graph, part []uint32, in map[uint32]bool, all Fairness) *Trace[S] {
+func (c *checker[S]) lasso(g *graph, part []uint32, in bitset, all Fairness) *Trace[S] {
 	entry, nearest := part[0], int(^uint(0)>>1)
 	for _, id := range part[:min(len(part), 4096)] {
 		n := 0
@@ -202,7 +223,7 @@
 }
 
 // within finds a shortest way inside a part from a state to a goal; stay allows the way of no steps.
-func within(g *graph, in map[uint32]bool, from uint32, goal func(uint32, Fairness) bool, stay bool) []uint32 {
+func within(g *graph, in bitset, from uint32, goal func(uint32, Fairness) bool, stay bool) []uint32 {
 	if stay && goal(from, 0) {
 		return nil
 	}
@@ -213,7 +234,7 @@
 		queue = queue[1:]
 		to, class, _ := g.of(at)
 		for i, next := range to {
-			if !in[next] {
+			if !in.has(next) {
 				continue
 			}
 			if goal(next, class[i]) {
--- a/rehearsal/model/model_test.go
+++ b/rehearsal/model/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -275,6 +276,21 @@
 	}
 }
 
+func TestPromisesNeedMemoryToo(t *testing.T) {
+	m := dice()
+	m.properties, m.promises, m.pending = []string{"any"}, []string{"a die shows 10"}, func(s state) uint8 { return 1 }
+	var res *Result[state]
+	for memory := int64(3 << 20); ; memory += 8 << 10 { // the least with which all states can be visited
+		if res = check(t, m, Options{Workers: 1, Memory: memory}); !strings.HasPrefix(res.Stopped, "the memory") {
+			break
+		}
+	}
+	assert.Contains(t, res.Stopped, "the promises need")
+	assert.False(t, res.Complete)
+	assert.Equal(t, Holds, res.Findings[0].Verdict, "every state was visited")
+	assert.Equal(t, Unknown, res.Findings[2].Verdict)
+}
+
 func TestTooManyPropertiesAreRefused(t *testing.T) {
 	m := dice()
 	m.promises = make([]string, 9)
