A class whose repeats are dropped by some gateways only, in both models

Change: the model of lives has a class that may be repeated and, once it may have run, not refused; the running code has it as keyed by zone, with gateways in two zones.

--- a/rehearsal/catalog/replay.go
+++ b/rehearsal/catalog/replay.go
@@ -49,9 +49,10 @@
 	}
 	set := balance.Settings{MaxAttempts: t.Attempts, Tick: time.Millisecond, MaxRetryAfter: time.Second,
 		Safety: balance.Safety{DrainGrace: 2 * time.Second}, Classes: []balance.Class{{Name: "safe"},
-			{Name: "unsafe", Effect: balance.Unsafe}, {Name: "keyed", Effect: balance.Keyed, Window: time.Hour}}}
+			{Name: "unsafe", Effect: balance.Unsafe}, {Name: "keyed", Effect: balance.Keyed, Window: time.Hour},
+			{Name: "grouped", Effect: balance.Keyed, Group: balance.GroupZone, Window: time.Hour}}}
 	w := script.New(script.Config{Hosts: t.Gateways, Settings: set, Decider: &script.Scripted{}, Wait: time.Minute,
-		Classes: []string{"safe", "unsafe", "keyed", "safe"}, Plant: t.Plant})
+		Classes: []string{"safe", "unsafe", "keyed", "safe", "grouped"}, Plant: t.Plant})
 	rep := &Replayed{}
 	w.Tell(func(l string) { rep.Lines = append(rep.Lines, "        "+l) })
 	order := map[int]int{} // a client's number in the order of asking
--- a/rehearsal/coremodel/model.go
+++ b/rehearsal/coremodel/model.go
@@ -41,16 +41,17 @@
 	inheritedFor   = time.Second
 )
 
-var classes = []string{"safe", "unsafe", "keyed", "safe"}
+var classes = []string{"safe", "unsafe", "keyed", "safe", "grouped"} // by lifemodel.Class
 
 // settings are those of the small fleet: short times, so that a run has few moments at which anything may happen.
 func (c Config) settings() balance.Settings {
 	return balance.Settings{
-		Balancers: 1, MaxAttempts: c.Attempts, Tick: time.Millisecond, MaxRetryAfter: time.Second,
+		Balancers: 1, Zone: "z0", MaxAttempts: c.Attempts, Tick: time.Millisecond, MaxRetryAfter: time.Second,
 		Classes: []balance.Class{
 			{Name: "safe", Aim: aim, Deadline: wait, Effect: balance.Safe},
 			{Name: "unsafe", Aim: aim, Deadline: wait, Effect: balance.Unsafe},
 			{Name: "keyed", Aim: aim, Deadline: wait, Effect: balance.Keyed, Group: balance.GroupAll, Window: time.Minute},
+			{Name: "grouped", Aim: aim, Deadline: wait, Effect: balance.Keyed, Group: balance.GroupZone, Window: time.Minute},
 		},
 		Safety: balance.Safety{DrainGrace: grace, AnswerSlack: 50 * time.Millisecond, AskWithin: 10 * time.Second,
 			ColdFrom: 0.3, ColdFor: 8 * time.Second, OverloadFactor: 2.5, TipAfter: time.Second},
@@ -255,6 +256,9 @@
 // world returns a world at the start.
 func (m *Model) world(seed uint64) *script.World {
 	cfg := script.Config{Hosts: m.cfg.Gateways, Settings: m.set, Seed: seed, Wait: wait, Classes: classes, Plant: m.cfg.Plant,
+		Fleet: func(i int) balance.Listing { // the first and the last of three stand in one zone
+			return balance.Listing{Server: balance.ServerID(fmt.Sprint("g", i+1)), Weight: 1, Zone: fmt.Sprint("z", i%2)}
+		},
 		Rule: m.cfg.Rule}
 	if cfg.Rule == nil {
 		cfg.Rule = life.Step
@@ -370,8 +374,8 @@
 		return m.connections(w, r)
 	}
 	if n := w.Clients(); n < m.cfg.Clients {
-		for class := range 3 {
-			add(lifemodel.Ask, n, 0, class)
+		for _, class := range []lifemodel.Class{lifemodel.Safe, lifemodel.Unsafe, lifemodel.Keyed, lifemodel.Grouped} {
+			add(lifemodel.Ask, n, 0, int(class))
 		}
 		for g := range m.cfg.Gateways {
 			add(lifemodel.Ask, n, g, int(lifemodel.Inherited))
--- a/rehearsal/lifemodel/describe.go
+++ b/rehearsal/lifemodel/describe.go
@@ -9,7 +9,7 @@
 )
 
 var (
-	classNames = [...]string{"safe", "unsafe", "keyed", "inherited"}
+	classNames = [...]string{"safe", "unsafe", "keyed", "inherited", "grouped"}
 	seenNames  = [...]string{"has not asked", "waits", "is served", "has its final answer", "has left",
 		"has waited in vain: its time is up"}
 )
--- a/rehearsal/lifemodel/state.go
+++ b/rehearsal/lifemodel/state.go
@@ -64,8 +64,12 @@
 	Unsafe          // must not run twice
 	Keyed           // repeats are dropped by all gateways alike
 	Inherited       // its connection stood at one gateway before the node started
+	Grouped         // repeats are dropped by some gateways only, which the balancer knows
 )
 
+// refusable says whether trying again is harmless although an attempt may have run.
+func (c Class) refusable() bool { return c == Safe || c == Keyed }
+
 // Seen is what a client has seen.
 type Seen uint8
 
@@ -163,10 +167,9 @@
 
 // word packs a client.
 func (c *Client) word() uint32 {
-	return uint32(c.Class) | uint32(c.Seen)<<2 | uint32(c.Life.Phase)<<5 | bit[uint32](c.Life.Inherited, 8) |
-		uint32(c.Life.Attempts&15)<<9 | uint32(c.Link)<<13 | uint32(c.Book)<<15 | bit[uint32](c.MayRun, 18) |
-		bit[uint32](c.Held, 19) | bit[uint32](c.Guard, 20) | bit[uint32](c.Timer, 21) |
-		bit[uint32](c.Ran, 22)
+	return uint32(c.Class) | uint32(c.Seen)<<3 | uint32(c.Life.Phase)<<6 | bit[uint32](c.Life.Inherited, 9) |
+		uint32(c.Life.Attempts&15)<<10 | uint32(c.Link)<<14 | uint32(c.Book)<<16 | bit[uint32](c.MayRun, 19) |
+		bit[uint32](c.Held, 20) | bit[uint32](c.Guard, 21) | bit[uint32](c.Timer, 22) | bit[uint32](c.Ran, 23)
 }
 
 // Encode implements model.Model.
--- a/rehearsal/lifemodel/steps.go
+++ b/rehearsal/lifemodel/steps.go
@@ -352,7 +352,7 @@
 		r.bad(badSecond)
 		return
 	}
-	if f == life.AnswerThrottle && q.Ran && q.Class == Unsafe {
+	if f == life.AnswerThrottle && q.Ran && !q.Class.refusable() && q.Class != Inherited {
 		r.bad(badRefusal)
 	}
 	if q.Seen = Finished; f == life.AnswerUp {
@@ -452,7 +452,7 @@
 	}
 	n := *s
 	n.Clients[c].Seen = Asking
-	for class := Safe; class <= Keyed; class++ {
+	for _, class := range [...]Class{Safe, Unsafe, Keyed, Grouped} {
 		n.Clients[c].Class = class
 		yield(Code(Ask, c, 0, int(class)), m.do(&n, c, life.Arrive))
 	}
@@ -481,7 +481,7 @@
 	}
 	n := *s
 	n.Clients[c].Book = NoEntry
-	if harmless := !q.MayRun || q.Class != Unsafe; harmless || m.plant == plantRefusal {
+	if harmless := !q.MayRun || q.Class.refusable(); harmless || m.plant == plantRefusal {
 		yield(Code(Refuse, c, 0, 0), m.do(&n, c, life.Refuse))
 	} else {
 		yield(Code(GiveUp, c, 0, 0), m.do(&n, c, life.GiveUp))
