What only plants need leaves the daemon's package; two pieces of dead and doubled code go

Need: a reading of the whole change: life.Effects.Without served planted bugs alone and stood in the daemon; a loop of one's own did what slices.Contains does; decider.Balancer was called by nobody.

Change: without lives beside the plants, slices.Contains is called, the dead method is gone, a sentence is mended. Behaviour is as before.

Measured: tests of life, query, the life model and the catalogue pass.

--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -152,16 +152,6 @@
 	return false
 }
 
-// Without returns the effects less one kind. Models use it to plant bugs.
-func (f *Effects) Without(drop Effect) (rest Effects) {
-	for i := range f.Len() {
-		if f.list[i] != drop {
-			rest.Add(f.list[i])
-		}
-	}
-	return rest
-}
-
 func (f Effects) String() string {
 	names := make([]string, f.Len())
 	for i := range names {
--- a/rehearsal/coremodel/model.go
+++ b/rehearsal/coremodel/model.go
@@ -215,7 +215,7 @@
 	return [][]model.Step{m.served(seed, false), m.served(seed, true)}
 }
 
-// Start returns the state to start from with a seed of the balancer's, counted from 1.
+// Start returns the state to start from with a seed of the balancer's, counted from 1,
 // and one of the beginnings, from 0: the model of connections has two.
 func (m *Model) Start(seed uint64, which int) (State, error) {
 	if seed < 1 || seed > uint64(max(1, m.cfg.Seeds)) {
--- a/rehearsal/coremodel/plants.go
+++ b/rehearsal/coremodel/plants.go
@@ -94,9 +94,6 @@
 	return acts
 }
 
-// Balancer returns the real balancer behind a planted one, for those who look into it.
-func (d *decider) Balancer() query.Decider { return d.inner }
-
 func hearing(f func(balance.Event) []balance.Event) func(query.Decider) query.Decider {
 	return func(inner query.Decider) query.Decider { return &decider{inner: inner, in: f} }
 }
--- a/rehearsal/lifemodel/plants.go
+++ b/rehearsal/lifemodel/plants.go
@@ -1,6 +1,7 @@
 package lifemodel
 
 import (
+	"slices"
 	"time"
 
 	"lichenhitch/internal/life"
@@ -66,20 +67,21 @@
 func dropping(f life.Effect, of ...life.Kind) rule {
 	return func(s life.State, e life.Event) (life.State, life.Effects) {
 		next, todo := life.Step(s, e)
-		if len(of) == 0 || contains(of, e.Kind) {
-			todo = todo.Without(f)
+		if len(of) == 0 || slices.Contains(of, e.Kind) {
+			todo = without(todo, f)
 		}
 		return next, todo
 	}
 }
 
-func contains(list []life.Kind, k life.Kind) bool {
-	for _, x := range list {
-		if x == k {
-			return true
+// without returns effects less one kind.
+func without(f life.Effects, drop life.Effect) (rest life.Effects) {
+	for i := range f.Len() {
+		if f.At(i) != drop {
+			rest.Add(f.At(i))
 		}
 	}
-	return false
+	return rest
 }
 
 // staying returns the rule with a phase that an event fails to change.
@@ -126,7 +128,7 @@
 		rule: func(s life.State, e life.Event) (life.State, life.Effects) {
 			next, todo := life.Step(s, e)
 			if e.Kind == life.AttemptLate && todo.Has(life.TellEnded) {
-				todo = todo.Without(life.CloseAttempt)
+				todo = without(todo, life.CloseAttempt)
 				todo.Add(life.CloseAttempt)
 			}
 			return next, todo
@@ -159,7 +161,7 @@
 			next, todo := life.Step(s, e)
 			if s.Phase == life.Trying && e.Kind == life.HostEnded && next.Phase == life.Waiting {
 				next.Phase = life.Over
-				todo = todo.Without(life.TellEnded)
+				todo = without(todo, life.TellEnded)
 				todo.Add(life.Unguard)
 				todo.Add(life.TellOver)
 			}
