Operators' address: readiness, hosts out by hand, drain of the node

Change: internal/management answers five calls on the node's loop; life.Service is the machine of serving, draining and leaving that PING, readyz and the departure read; balance takes Suspend and Resume as events, keeps bans by id apart from the list, has a banned host count as one that drains and one that is back as cold and probed at once.

Ruled out: a second switch for 'may be used' beside the state of a server; each of the nine places that read the state would need it, and a drain already means all that a ban does.

--- a/balance/api.go
+++ b/balance/api.go
@@ -230,6 +230,11 @@
 		Took    time.Duration
 		Report  Report
 	}
+	// Suspend takes a server out by hand: nothing new goes to it until Resume, whatever the lists say and whether they
+	// name it or not. Twice is once.
+	Suspend struct{ Server ServerID }
+	// Resume takes a Suspend back. The server counts as just started, unless a start was told meanwhile.
+	Resume struct{ Server ServerID }
 	// PeerMessage is a message from another balancer.
 	PeerMessage struct {
 		From int
@@ -247,6 +252,8 @@
 func (Departed) event()     {}
 func (Woken) event()        {}
 func (Probed) event()       {}
+func (Suspend) event()      {}
+func (Resume) event()       {}
 func (PeerMessage) event()  {}
 
 // Action is something to carry out for a balancer. Actions are carried out in order.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,6 +72,8 @@
 		classes:  make(map[string]Class, len(set.Classes)),
 		rng:      rand.New(rand.NewPCG(seed, seed)),
 		byID:     make(map[ServerID]*server),
+		bans:     make(map[ServerID]time.Duration),
+		back:     make(map[ServerID]time.Duration),
 		requests: make(map[RequestID]*request),
 		tenants:  make(map[string]*tenant),
 	}
@@ -105,6 +107,10 @@
 	switch e := ev.(type) {
 	case ServerList:
 		b.onList(e)
+	case Suspend:
+		b.onSuspend(e.Server)
+	case Resume:
+		b.onResume(e.Server)
 	case Arrival:
 		b.onArrival(e)
 	case Inherited:
@@ -187,14 +193,63 @@
 		s = &server{hash: hashOf(string(entry.Server))}
 		b.byID[entry.Server] = s
 		b.servers = append(b.servers, s)
-	case s.Started != entry.Started:
+	case s.told.Started != entry.Started:
 		*s = server{probing: s.probing, hash: s.hash}
 	}
-	if entry.State == Draining && s.State != Draining {
+	s.told, s.listed = entry, true
+	b.present(s)
+}
+
+// present has a server count as what the list says, less what operators say by hand: one that is out drains,
+// and one that came back is cold from then on.
+func (b *Balancer) present(s *server) {
+	was := s.State
+	s.Listing = s.told
+	if _, out := b.bans[s.Server]; out && s.State == Ready {
+		s.State = Draining
+	}
+	s.Started = max(s.Started, b.back[s.Server])
+	if s.State == Draining && was != Draining {
 		s.drainFrom = b.now
 		b.look()
 	}
-	s.Listing, s.listed = entry, true
+}
+
+// onSuspend takes a server out by hand. The ban is kept apart from the list, which may drop the server and
+// name it again meanwhile.
+func (b *Balancer) onSuspend(id ServerID) {
+	if _, out := b.bans[id]; out {
+		return
+	}
+	b.bans[id] = b.now
+	delete(b.back, id)
+	if s := b.byID[id]; s != nil {
+		b.present(s)
+		b.surveyAt = 0
+	}
+}
+
+// onResume takes a ban back. The server was most likely started anew while it was out, so that nothing known
+// of it holds any more; if it may be used, it is probed at once.
+func (b *Balancer) onResume(id ServerID) {
+	since, out := b.bans[id]
+	if !out {
+		return
+	}
+	delete(b.bans, id)
+	s := b.byID[id]
+	if s == nil || s.told.Started <= since {
+		b.back[id] = b.now
+	}
+	if s == nil {
+		return
+	}
+	*s = server{told: s.told, listed: true, probing: s.probing, hash: s.hash, conns: s.conns}
+	if b.present(s); b.set.Probes && s.State == Ready && !s.probing {
+		b.probe(s)
+	}
+	b.surveyAt = 0
+	b.retryWaiting()
 }
 
 // ---- Ratio estimate ----
--- a/balance/state.go
+++ b/balance/state.go
@@ -29,6 +29,8 @@
 	out      []Action
 	servers  []*server // listed, in the order of their first listing
 	byID     map[ServerID]*server
+	bans     map[ServerID]time.Duration // servers out by hand, since when
+	back     map[ServerID]time.Duration // servers that were, and when they came back
 	requests map[RequestID]*request
 	waiting  []*request // arrivals held, oldest first
 	fit      []*server  // scratch of choose
@@ -56,7 +58,8 @@
 }
 
 type server struct {
-	Listing
+	Listing           // as it counts
+	told      Listing // as the lists have it
 	listed    bool
 	hash      uint64 // of the name
 	reported  bool
--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -19,6 +19,7 @@
 	"lichenhitch/internal/evloop"
 	"lichenhitch/internal/hostgroup"
 	"lichenhitch/internal/life"
+	"lichenhitch/internal/management"
 	"lichenhitch/internal/query"
 	"lichenhitch/internal/serverlink"
 )
@@ -82,6 +83,12 @@
 	core     *query.Core
 	group    *hostgroup.Group
 	listener *evloop.Listener
+	desk     *evloop.Listener // of the management address; nil where there is none
+
+	// These belong to the loop.
+	service life.Service
+	pacing  bool          // step is going to be called
+	empty   chan struct{} // closed when the node has left
 }
 
 // start wires the parts and serves.
@@ -95,24 +102,35 @@
 	ticks := &clock{loop: loop}
 	core := query.New(log, ticks, cfg.Settings, cfg.Seed)
 	ticks.core = core
-	group := hostgroup.New(log, loop, core, cfg.Discovery)
-	hosts := serverlink.New(log, loop, core, connectTimeout(cfg.Settings), group.Endpoint)
-	door := clientlink.New(log, loop, core, cfg.Settings, links-probeSockets)
+	n := &node{log: log, cfg: cfg, loop: loop, core: core, empty: make(chan struct{}),
+		group: hostgroup.New(log, loop, core, cfg.Discovery),
+		service: life.Service{PassThrough: cfg.Settings.PassThrough,
+			Within: life.StayWithin(longestDeadline(cfg.Settings))}}
+	hosts := serverlink.New(log, loop, core, connectTimeout(cfg.Settings), n.group.Endpoint)
+	serving := func() bool { return n.service.Serving() }
+	door := clientlink.New(log, loop, core, cfg.Settings, links-probeSockets, serving)
 	loop.Call(func() {
-		core.Connect(hosts, group)
+		core.Connect(hosts, n.group)
 		if cfg.Known != nil {
-			group.Restore(*cfg.Known)
+			n.group.Restore(*cfg.Known)
 		} else {
 			core.List(balance.ListSaved, nil)
 		}
 	})
-	listener, err := loop.Listen(cfg.Listen, door.Accept)
-	if err != nil {
+	if n.listener, err = loop.Listen(cfg.Listen, door.Accept); err != nil {
 		loop.Stop()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	log.Info("serving", "listen", listener.Addr(), "discovery", cfg.Discovery)
-	return &node{log: log, cfg: cfg, loop: loop, core: core, group: group, listener: listener}, nil
+	if cfg.Management != "" {
+		if n.desk, err = loop.Listen(cfg.Management, management.New(log, loop, n).Accept); err != nil {
+			n.listener.Close()
+			loop.Stop()
+			return nil, fmt.Errorf("management: %w", err)
+		}
+		log.Info("open to operators", "management", n.desk.Addr())
+	}
+	log.Info("serving", "listen", n.listener.Addr(), "discovery", cfg.Discovery)
+	return n, nil
 }
 
 // reload takes over what a new configuration changes, on SIGHUP. The file was read beside the loop. One that is
@@ -147,25 +165,41 @@
 	return time.Second
 }
 
-// leave answers all that was taken and stops, in the steps of life.Departure.
+// leave answers all that was taken and stops.
 func (n *node) leave() {
-	pass := n.cfg.Settings.PassThrough
-	d := life.Departure{PassThrough: pass, Within: life.StayWithin(longestDeadline(n.cfg.Settings))}
-	for begun := time.Now(); ; time.Sleep(leaveLook) {
-		var order life.Order
-		n.loop.Call(func() {
-			if d, order = d.Step(time.Since(begun), n.core.Owed(), n.core.Standing()); order == life.SendAway {
-				n.core.Leave(pass)
-			}
-		})
-		switch order {
-		case life.CloseDoor:
-			n.listener.Close()
-		case life.SendAway:
-			n.loop.Stop()
-			return
-		}
+	n.loop.Call(func() { n.ask(life.Depart) })
+	<-n.empty
+	n.loop.Stop()
+}
+
+// ask takes a wish for the node as a whole.
+func (n *node) ask(w life.Wish) {
+	n.service = n.service.Ask(w, n.loop.Now())
+	if !n.pacing {
+		n.step()
+	}
+}
+
+// step does what life.Service orders, again and again for as long as the node does not simply serve.
+func (n *node) step() {
+	n.pacing = !n.service.Serving()
+	if !n.pacing {
+		return
+	}
+	var order life.Order
+	var count int
+	n.service, order, count = n.service.Step(n.loop.Now(), n.core.Owed(), n.core.Standing(), false)
+	switch order {
+	case life.Ease:
+		n.core.Ease(count)
+	case life.CloseDoor:
+		n.listener.Close()
+	case life.SendAway:
+		n.core.Leave(n.service.PassThrough)
+		close(n.empty)
+		return
 	}
+	n.loop.After(leaveLook, n.step)
 }
 
 func longestDeadline(set balance.Settings) (longest time.Duration) {
--- /dev/null
+++ b/cmd/lichenhitch/operate.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"errors"
+
+	"lichenhitch/balance"
+	"lichenhitch/internal/life"
+	"lichenhitch/internal/management"
+)
+
+// This file is what operators may call for: the node as management.Node.
+
+// The reasons why a node is not ready.
+var (
+	errDrained = errors.New("the node is drained")
+	errLeaving = errors.New("the node leaves")
+	errNoList  = errors.New("there is no list of hosts yet")
+)
+
+// Ready implements management.Node.
+func (n *node) Ready() error {
+	switch {
+	case n.service.Leaving:
+		return errLeaving
+	case n.service.Drained:
+		return errDrained
+	case !n.group.Known():
+		return errNoList
+	}
+	return nil
+}
+
+// Suspend implements management.Node.
+func (n *node) Suspend(host string, done func(error)) {
+	if !n.core.Names(balance.ServerID(host)) {
+		done(management.ErrUnknown)
+		return
+	}
+	n.core.Suspend(balance.ServerID(host), n.loop.Now())
+	done(nil)
+}
+
+// Resume implements management.Node. One that is not out is in use already.
+func (n *node) Resume(host string, done func(error)) {
+	if !n.core.Names(balance.ServerID(host)) {
+		done(management.ErrUnknown)
+		return
+	}
+	n.core.Resume(balance.ServerID(host))
+	done(nil)
+}
+
+// Drain implements management.Node.
+func (n *node) Drain(done func(error)) {
+	n.ask(life.Drain)
+	done(nil)
+}
+
+// Activate implements management.Node.
+func (n *node) Activate(done func(error)) {
+	n.ask(life.Activate)
+	done(nil)
+}
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -45,11 +45,14 @@
 	ids      map[string]bool // of the queries that are open
 	turned   map[error]int   // connections turned away since the log last told of them, by the reason
 	telling  bool
+	serving  func() bool // whether the node wants clients
 }
 
-// New returns a door. Above maxLinks connections, queries are throttled.
-func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, set balance.Settings, maxLinks int) *Door {
-	d := &Door{log: log, loop: loop, core: core, classes: map[string]balance.Class{}, maxLinks: maxLinks,
+// New returns a door. Above maxLinks connections, queries are throttled. serving tells what PING asks; whoever asks for
+// more is served all the same.
+func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, set balance.Settings, maxLinks int,
+	serving func() bool) *Door {
+	d := &Door{serving: serving, log: log, loop: loop, core: core, classes: map[string]balance.Class{}, maxLinks: maxLinks,
 		retry: min(fullRetry, set.MaxRetryAfter), ids: map[string]bool{}, turned: map[error]int{}}
 	for _, c := range set.Classes {
 		d.classes[c.Name] = c
@@ -146,7 +149,11 @@
 		c.Reject(errEager)
 	case string(text) == "PING":
 		c.link.Discard(n)
-		c.link.Write([]byte("PONG\r\n"))
+		if c.door.serving() {
+			c.link.Write([]byte("PONG\r\n"))
+		} else {
+			c.link.Write(line.AppendBusy(nil, 0))
+		}
 	default:
 		open, err := line.ParseOpen(text)
 		if err == nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,14 +28,15 @@
 
 // Config is what the node is told.
 type Config struct {
-	Name      string
-	Listen    string
-	Discovery string
-	Seed      uint64
-	MemoryMB  int // the node is killed above this
-	Sockets   int // descriptors that it may hold
-	Known     *hostgroup.List
-	Settings  balance.Settings
+	Name       string
+	Listen     string
+	Management string // where operators call; "" where nobody does
+	Discovery  string
+	Seed       uint64
+	MemoryMB   int // the node is killed above this
+	Sockets    int // descriptors that it may hold
+	Known      *hostgroup.List
+	Settings   balance.Settings
 }
 
 // Load reads the configuration at the start; getenv is os.Getenv outside tests. The environment wins over the file.
@@ -63,6 +64,11 @@
 	if c.Listen, err = address(root, "listen", getenv, "GW_LISTEN"); err != nil {
 		return c, err
 	}
+	if getenv("GW_MANAGEMENT") != "" || root.Get("management").Exists() {
+		if c.Management, err = address(root, "management", getenv, "GW_MANAGEMENT"); err != nil {
+			return c, err
+		}
+	}
 	discovery := getenv
 	if again && root.Get("discovery").Exists() {
 		discovery = func(string) string { return "" }
@@ -101,6 +107,7 @@
 	var keys []string
 	for key, same := range map[string]bool{
 		"name": c.Name == before.Name, "listen": c.Listen == before.Listen,
+		"management":       c.Management == before.Management,
 		"limits.memory_mb": c.MemoryMB == before.MemoryMB, "limits.sockets": c.Sockets == before.Sockets,
 		"settings": reflect.DeepEqual(c.Settings, before.Settings),
 	} {
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -36,6 +36,7 @@
 	address  string // of discovery
 	rev      int64
 	known    bool // there is a list to watch from
+	listed   bool // there is or was one
 	hosts    map[balance.ServerID]string
 	link     *evloop.Link
 	open     bool
@@ -53,6 +54,9 @@
 // Endpoint returns a host's address, or "" for one that is not listed.
 func (g *Group) Endpoint(server balance.ServerID) string { return g.hosts[server] }
 
+// Known says whether there is a list of hosts, be it an old one.
+func (g *Group) Known() bool { return g.listed }
+
 // Restore takes the list as this node last had it.
 func (g *Group) Restore(l List) { g.take(l, balance.ListSaved) }
 
@@ -148,7 +152,7 @@
 
 // take notes where hosts are and tells the core.
 func (g *Group) take(l List, kind balance.ListKind) {
-	g.rev, g.known = l.Rev, true
+	g.rev, g.known, g.listed = l.Rev, true, true
 	if l.All {
 		clear(g.hosts)
 	}
--- a/internal/http1/call.go
+++ b/internal/http1/call.go
@@ -64,7 +64,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	409: "Conflict", 431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+	408: "Request Timeout", 431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
 
 // AppendAnswer appends an answer with a JSON body, after which the connection ends. allow names the methods that would
 // do, where the one that came does not.
--- a/internal/life/departure.go
+++ b/internal/life/departure.go
@@ -20,9 +20,10 @@
 	Stay      Order = iota // look again in a moment
 	CloseDoor              // accept no more
 	SendAway               // answer what is owed, move what stands unless packets pass through, and stop
+	Ease                   // move some clients
 )
 
-var orderNames = [...]string{"stay", "close-door", "send-away"}
+var orderNames = [...]string{"stay", "close-door", "send-away", "ease"}
 
 func (o Order) String() string { return orderNames[o] }
 
@@ -32,6 +33,7 @@
 type Departure struct {
 	PassThrough bool
 	Within      time.Duration // from SIGTERM; see StayWithin
+	Succeeded   bool          // another process of the node has taken the address over
 	Closed      bool          // CloseDoor was given
 	Gone        bool          // SendAway was given
 }
@@ -42,7 +44,8 @@
 }
 
 // Step says what to do a time after SIGTERM, when so many queries are owed an answer and so many connections stand.
-// Each order other than Stay is given once, in the order of the list above.
+// Of CloseDoor and SendAway each is given once, in this order. Once the node is succeeded, the door
+// closes at once.
 func (d Departure) Step(after time.Duration, owed, standing int) (Departure, Order) {
 	left := owed
 	if d.PassThrough {
@@ -51,7 +54,7 @@
 	switch {
 	case d.Gone:
 	case !d.Closed:
-		if after >= AcceptOn {
+		if after >= AcceptOn || d.Succeeded {
 			d.Closed = true
 			return d, CloseDoor
 		}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -130,7 +130,8 @@
 	busy     bool
 	heard    map[balance.ServerID]time.Duration // when a line last came from a host with open connections
 	told     map[balance.ServerID]listed
-	owed     int // queries without a final answer
+	bans     map[balance.ServerID]time.Duration // hosts out by hand, since when
+	owed     int                                // queries without a final answer
 }
 
 // listed is what discovery has told of a host.
@@ -150,7 +151,7 @@
 func Build(log *slog.Logger, clock Clock, set balance.Settings, decider Decider, rule Rule) *Core {
 	c := &Core{log: log, clock: clock, balancer: decider, rule: rule, grace: set.Safety.DrainGrace,
 		queries: make(map[balance.RequestID]*Query), heard: make(map[balance.ServerID]time.Duration),
-		told: make(map[balance.ServerID]listed)}
+		told: make(map[balance.ServerID]listed), bans: make(map[balance.ServerID]time.Duration)}
 	if c.grace <= 0 {
 		c.grace = usualGrace
 	}
@@ -169,14 +170,24 @@
 func (c *Core) Owed() int { return c.owed }
 
 // Standing returns how many connections stand.
-func (c *Core) Standing() int {
-	n := 0
+func (c *Core) Standing() int { return len(c.standing()) }
+
+func (c *Core) standing() (all []*Query) {
 	for _, q := range c.queries {
 		if q.state.Phase == life.Up {
-			n++
+			all = append(all, q)
 		}
 	}
-	return n
+	return all
+}
+
+// Ease moves the clients of the oldest connections that stand, so many of them: the node is to be emptied.
+func (c *Core) Ease(n int) {
+	all := c.standing()
+	inOrder(all)
+	for _, q := range all[:min(n, len(all))] {
+		q.step(life.Event{Kind: life.Move}, &news{outcome: balance.Cancelled})
+	}
 }
 
 // List brings news of the host group.
@@ -225,8 +236,35 @@
 	c.told[e.Server] = l
 }
 
+// Names says whether a host is known: it is listed, was until a moment ago, or is out by hand.
+func (c *Core) Names(server balance.ServerID) bool {
+	_, told := c.told[server]
+	_, out := c.bans[server]
+	return told || out
+}
+
+// Suspend takes a host out by hand: nothing new goes there, and its clients are moved, until Resume. since is the time
+// of the call, from which the grace counts. Twice is once.
+func (c *Core) Suspend(server balance.ServerID, since time.Duration) {
+	if _, out := c.bans[server]; !out {
+		c.bans[server] = since
+		c.feed(balance.Suspend{Server: server})
+	}
+}
+
+// Resume takes a Suspend back.
+func (c *Core) Resume(server balance.ServerID) {
+	if _, out := c.bans[server]; out {
+		delete(c.bans, server)
+		c.feed(balance.Resume{Server: server})
+	}
+}
+
 // drained says whether nothing may be sent to a host any more.
 func (c *Core) drained(server balance.ServerID) bool {
+	if since, out := c.bans[server]; out && c.clock.Now()-since >= c.grace {
+		return true
+	}
 	l, known := c.told[server]
 	return known && !l.ready && c.clock.Now()-l.since >= c.grace
 }
