Stories of the operators' calls, of bans and of drains; ready once discovery has answered

A node with an old list waits 1.5 s for discovery before it says ready, so that an upgrade does not begin on old news.

--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -84,6 +84,7 @@
 	group    *hostgroup.Group
 	listener *evloop.Listener
 	desk     *evloop.Listener // of the management address; nil where there is none
+	begun    time.Duration    // the start
 
 	// These belong to the loop.
 	service life.Service
@@ -102,7 +103,7 @@
 	ticks := &clock{loop: loop}
 	core := query.New(log, ticks, cfg.Settings, cfg.Seed)
 	ticks.core = core
-	n := &node{log: log, cfg: cfg, loop: loop, core: core, empty: make(chan struct{}),
+	n := &node{log: log, cfg: cfg, loop: loop, core: core, begun: loop.Now(), empty: make(chan struct{}),
 		group: hostgroup.New(log, loop, core, cfg.Discovery),
 		service: life.Service{PassThrough: cfg.Settings.PassThrough,
 			Within: life.StayWithin(longestDeadline(cfg.Settings))}}
--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -185,13 +185,23 @@
 
 // startNode starts a node that knows some hosts.
 func startNode(t *testing.T, d *discovery, known string) *node {
+	t.Helper()
+	return startConfig(t, testConfig(t, d, known))
+}
+
+func testConfig(t *testing.T, d *discovery, known string) config.Config {
 	t.Helper()
 	set, err := settings.Decode([]byte(testSettings))
 	require.NoError(t, err)
 	l, err := hostgroup.ParseList([]byte(known))
 	require.NoError(t, err)
-	n, err := start(slog.New(slog.NewTextHandler(io.Discard, nil)), config.Config{Name: "n", Listen: "127.0.0.1:0",
-		Discovery: d.Addr().String(), Seed: 1, Sockets: 1024, MemoryMB: 192, Known: &l, Settings: set})
+	return config.Config{Name: "n", Listen: "127.0.0.1:0", Management: "127.0.0.1:0", Discovery: d.Addr().String(),
+		Seed: 1, Sockets: 1024, MemoryMB: 192, Known: &l, Settings: set}
+}
+
+func startConfig(t *testing.T, cfg config.Config) *node {
+	t.Helper()
+	n, err := start(slog.New(slog.NewTextHandler(io.Discard, nil)), cfg)
 	require.NoError(t, err)
 	t.Cleanup(n.loop.Stop)
 	return n
--- a/cmd/lichenhitch/operate.go
+++ b/cmd/lichenhitch/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"lichenhitch/balance"
 	"lichenhitch/internal/life"
@@ -10,10 +11,15 @@
 
 // This file is what operators may call for: the node as management.Node.
 
+// knownEnough is how long a node with an old list waits for discovery before it counts as ready all the same: one that
+// is down at the start must not keep the node out.
+const knownEnough = 1500 * time.Millisecond
+
 // The reasons why a node is not ready.
 var (
 	errDrained = errors.New("the node is drained")
 	errLeaving = errors.New("the node leaves")
+	errOldList = errors.New("discovery has not answered yet")
 	errNoList  = errors.New("there is no list of hosts yet")
 )
 
@@ -26,6 +32,8 @@
 		return errDrained
 	case !n.group.Known():
 		return errNoList
+	case !n.group.Answered() && n.loop.Now()-n.begun < knownEnough:
+		return errOldList
 	}
 	return nil
 }
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/hostgroup/hostgroup.go
@@ -37,6 +37,7 @@
 	rev      int64
 	known    bool // there is a list to watch from
 	listed   bool // there is or was one
+	answered bool // discovery has told one
 	hosts    map[balance.ServerID]string
 	link     *evloop.Link
 	open     bool
@@ -57,6 +58,9 @@
 // Known says whether there is a list of hosts, be it an old one.
 func (g *Group) Known() bool { return g.listed }
 
+// Answered says whether discovery has answered since the start.
+func (g *Group) Answered() bool { return g.answered }
+
 // Restore takes the list as this node last had it.
 func (g *Group) Restore(l List) { g.take(l, balance.ListSaved) }
 
@@ -136,7 +140,7 @@
 	}
 	g.timer.Stop()
 	g.watching = false
-	g.reused = true
+	g.reused, g.answered = true, true
 	g.urgentTo = 0
 	g.link.Discard(a.Size)
 	if a.Close {
--- /dev/null
+++ b/internal/life/service_test.go
@@ -0,0 +1,89 @@
+package life
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestService plays wishes and steps and compares what the node is to its clients, and what it is ordered, after each.
+func TestService(t *testing.T) {
+	const ms = time.Millisecond
+	type at struct {
+		now       time.Duration
+		wish      string // "" for a step
+		owed      int
+		standing  int
+		succeeded bool
+		serving   bool
+		order     Order
+		count     int
+	}
+	wishes := map[string]Wish{"drain": Drain, "activate": Activate, "depart": Depart}
+	for name, c := range map[string]struct {
+		pass  bool
+		steps []at
+	}{
+		"clients are moved evenly, and all by the end": {steps: []at{
+			{now: 1000 * ms, wish: "drain"},
+			{now: 1000 * ms, standing: 300, order: Ease, count: 10},
+			{now: 1050 * ms, standing: 290},
+			{now: 1100 * ms, standing: 290, order: Ease, count: 10},
+			{now: 2500 * ms, standing: 150, order: Ease, count: 10},
+			{now: 3900 * ms, standing: 10, order: Ease, count: 10},
+			{now: 4000 * ms, standing: 3, order: Ease, count: 3},
+			{now: 9000 * ms, standing: 2, order: Ease, count: 2},
+			{now: 9100 * ms},
+		}},
+		"a drain asked for twice goes on as it was, and one activate ends it": {steps: []at{
+			{now: 1000 * ms, wish: "drain"},
+			{now: 3500 * ms, wish: "drain"},
+			{now: 3500 * ms, standing: 10, order: Ease, count: 2},
+			{now: 3600 * ms, wish: "activate", serving: true},
+			{now: 3700 * ms, standing: 8, serving: true},
+			{now: 3800 * ms, wish: "activate", serving: true},
+			{now: 9000 * ms, wish: "drain"},
+			{now: 9000 * ms, standing: 60, order: Ease, count: 2},
+		}},
+		"packets that pass through are carried on": {pass: true, steps: []at{
+			{now: 1000 * ms, wish: "drain"},
+			{now: 9000 * ms, standing: 5},
+			{now: 9000 * ms, wish: "activate", serving: true},
+		}},
+		"SIGTERM in a drain, which nothing takes back": {steps: []at{
+			{now: 1000 * ms, wish: "drain"},
+			{now: 2000 * ms, wish: "depart"},
+			{now: 2100 * ms, standing: 19, order: Ease, count: 1},
+			{now: 2200 * ms, wish: "activate"},
+			{now: 2499 * ms, owed: 1},
+			{now: 2500 * ms, owed: 1, order: CloseDoor},
+			{now: 2600 * ms, wish: "depart"},
+			{now: 2600 * ms, owed: 1},
+			{now: 2700 * ms, order: SendAway},
+			{now: 2800 * ms},
+		}},
+		"a node that is succeeded closes its door at once": {pass: true, steps: []at{
+			{now: 1000 * ms, wish: "depart"},
+			{now: 1001 * ms, succeeded: true, owed: 1, order: CloseDoor},
+			{now: 1002 * ms, succeeded: true, standing: 3},
+			{now: 3600 * ms, succeeded: true, standing: 3, order: SendAway},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := Service{PassThrough: c.pass, Within: StayWithin(2 * time.Second)}
+			for _, a := range c.steps {
+				var order Order
+				var count int
+				if a.wish != "" {
+					s = s.Ask(wishes[a.wish], a.now)
+				} else {
+					s, order, count = s.Step(a.now, a.owed, a.standing, a.succeeded)
+				}
+				assert.Equal(t, a.order, order, "%+v", a)
+				assert.Equal(t, a.count, count, "%+v", a)
+				assert.Equal(t, a.serving, s.Serving(), "%+v", a)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/management/management_test.go
@@ -0,0 +1,178 @@
+package management
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lichenhitch/internal/evloop"
+)
+
+// scripted is a node that knows one host and notes what it is asked for.
+type scripted struct {
+	loop  *evloop.Loop
+	asked chan string
+	hold  bool // resume is not answered
+}
+
+func (n *scripted) Ready() error { return errors.New("the list is \"old\"") }
+func (n *scripted) Suspend(host string, done func(error)) {
+	n.asked <- "suspend " + host
+	if host != "s-1" {
+		done(fmt.Errorf("%w: %s", ErrUnknown, host))
+		return
+	}
+	n.loop.After(time.Millisecond, func() { done(nil) })
+}
+func (n *scripted) Resume(host string, done func(error)) {
+	n.asked <- "resume " + host
+	if !n.hold {
+		done(nil)
+	}
+}
+func (n *scripted) Drain(done func(error))    { n.asked <- "drain"; done(nil) }
+func (n *scripted) Activate(done func(error)) { n.asked <- "activate"; done(errors.New("no")) }
+
+func startDesk(t *testing.T) (*scripted, string) {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	loop, err := evloop.Start(log, evloop.Limits{Links: 100, Queued: 1 << 16})
+	require.NoError(t, err)
+	t.Cleanup(loop.Stop)
+	n := &scripted{loop: loop, asked: make(chan string, 1000)}
+	ln, err := loop.Listen("127.0.0.1:0", New(log, loop, n).Accept)
+	require.NoError(t, err)
+	return n, ln.Addr()
+}
+
+func connect(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	return c
+}
+
+// call sends a text and returns the status and the body that come back before the connection ends.
+func call(t *testing.T, addr, text string) (string, string) {
+	t.Helper()
+	c := connect(t, addr)
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+	all, err := io.ReadAll(c)
+	require.NoError(t, err)
+	head, body, _ := strings.Cut(string(all), "\r\n\r\n")
+	require.Contains(t, head, "Content-Length: "+fmt.Sprint(len(body)))
+	return strings.Fields(head + " - -")[1], body
+}
+
+func TestCallsReachTheNodeAndAreAnswered(t *testing.T) {
+	n, addr := startDesk(t)
+	for _, tc := range []struct{ call, status, body, asked string }{
+		{"GET /v1/readyz", "503", `{"error":"not ready: the list is \"old\""}`, ""},
+		{"POST /v1/hosts/s-1/suspend", "200", `{"done":"hosts/s-1/suspend"}`, "suspend s-1"},
+		{"POST /v1/hosts/s%2D1/suspend", "200", `{"done":"hosts/s-1/suspend"}`, "suspend s-1"},
+		{"POST /v1/hosts/a/b/resume", "200", `{"done":"hosts/a/b/resume"}`, "resume a/b"},
+		{"POST /v1/hosts/s-9/suspend", "404", `{"error":"no host of that id is known: s-9"}`, "suspend s-9"},
+		{"POST /v1/node/drain", "200", `{"done":"node/drain"}`, "drain"},
+		{"POST /v1/node/activate", "503", `{"error":"no"}`, "activate"},
+		{"GET /v1/node/drain", "405", `{"error":"this path takes POST"}`, ""},
+		{"POST /v1/readyz", "405", `{"error":"this path takes GET"}`, ""},
+		{"POST /v1/hosts//suspend", "404", `{"error":"no such path: /v1/hosts//suspend"}`, ""},
+		{"POST /v1/hosts/s-1", "404", `{"error":"no such path: /v1/hosts/s-1"}`, ""},
+		{"POST /v1/hosts/s-1/kill", "404", `{"error":"no such path: /v1/hosts/s-1/kill"}`, ""},
+	} {
+		status, body := call(t, addr, tc.call+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.Equal(t, tc.status, status, tc.call)
+		assert.Equal(t, tc.body+"\n", body, tc.call)
+		if tc.asked != "" {
+			assert.Equal(t, tc.asked, <-n.asked)
+		}
+	}
+	assert.Empty(t, n.asked)
+}
+
+// A body that nobody asked for and a second call on the same connection change nothing and destroy no answer.
+func TestWhatIsNoCallIsAnsweredAndChangesNothing(t *testing.T) {
+	n, addr := startDesk(t)
+	for text, want := range map[string]string{
+		"POST /v1/node/drain HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000): "200",
+		"POST /v1/node/drain HTTP/1.1\r\n\r\nPOST /v1/hosts/s-1/suspend HTTP/1.1\r\n\r\n":            "200",
+		"garbage\r\n\r\n": "400",
+		"POST /v1/node/drain HTTP/1.1\r\nContent-Length: -1\r\n\r\n": "400",
+		"POST /" + strings.Repeat("x", 20000):                        "431",
+	} {
+		status, _ := call(t, addr, text)
+		assert.Equal(t, want, status, "%.40q", text)
+	}
+	assert.Len(t, n.asked, 2)
+	assert.Equal(t, "drain", <-n.asked)
+	assert.Equal(t, "drain", <-n.asked)
+}
+
+func TestACallMayComeByteForByteAndItsCallerMayLeave(t *testing.T) {
+	n, addr := startDesk(t)
+	c := connect(t, addr)
+	for _, b := range []byte("POST /v1/node/drain HTTP/1.1\r\nHost: x\r\n\r\n") {
+		_, err := c.Write([]byte{b})
+		require.NoError(t, err)
+	}
+	assert.Equal(t, "drain", <-n.asked)
+
+	c = connect(t, addr)
+	_, err := io.WriteString(c, "POST /v1/hosts/s-1/suspend HTTP/1.1\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	assert.Equal(t, "suspend s-1", <-n.asked)
+	status, _ := call(t, addr, "GET /v1/readyz HTTP/1.1\r\n\r\n")
+	assert.Equal(t, "503", status, "the desk goes on")
+}
+
+// Callers that send nothing, or half a call, and stay: the oldest make way, and those that come late in the day are told.
+func TestCallersThatStallHoldNothingUp(t *testing.T) {
+	n, addr := startDesk(t)
+	var stalled []net.Conn
+	for i := range 5 * maxLinks {
+		c := connect(t, addr)
+		_, err := io.WriteString(c, "POST /v1/node/drain HTTP/1.1\r\nHo"[:i%30])
+		require.NoError(t, err)
+		stalled = append(stalled, c)
+		status, _ := call(t, addr, "POST /v1/hosts/s-1/suspend HTTP/1.1\r\n\r\n")
+		require.Equal(t, "200", status)
+		require.Equal(t, "suspend s-1", <-n.asked)
+	}
+	var held int
+	n.loop.Call(func() { held = n.loop.Held() })
+	assert.Zero(t, held, "all of them may be ended when clients need the room")
+	_, err := stalled[0].Read(make([]byte, 1))
+	require.Error(t, err, "the oldest had to go")
+	all, err := io.ReadAll(stalled[len(stalled)-1])
+	require.NoError(t, err)
+	assert.Contains(t, string(all), "408 Request Timeout")
+	assert.Empty(t, n.asked)
+}
+
+// A call whose effect does not come to stand is answered in time all the same, and its caller is not put off for others.
+func TestACallThatTakesTooLongIsAnsweredNo(t *testing.T) {
+	n, addr := startDesk(t)
+	n.loop.Call(func() { n.hold = true })
+	answered := make(chan string)
+	go func() {
+		status, _ := call(t, addr, "POST /v1/hosts/s-1/resume HTTP/1.1\r\n\r\n")
+		answered <- status
+	}()
+	assert.Equal(t, "resume s-1", <-n.asked)
+	for range 3 * maxLinks {
+		connect(t, addr)
+	}
+	assert.Equal(t, "503", <-answered)
+}
