Two processes of one node share bans, the drain and the address while one takes over

Change: internal/handover keeps bans, the drain and the processes in a small versioned file under a lock; a call to either binds both. The address is listened at with SO_REUSEPORT and a filter deals new connections to the latest process, which opens its door once it has a list; the old one takes what is queued, closes its door and empties, and opens it again should the new one end. Descriptors, memory and cold hosts' budgets are shared while there are two. A connection that was reset before it was enrolled no longer ends the program: gnet asks for its remote address, which it has none of.

--- a/balance/api.go
+++ b/balance/api.go
@@ -235,6 +235,9 @@
 	Suspend struct{ Server ServerID }
 	// Resume takes a Suspend back. The server counts as just started, unless a start was told meanwhile.
 	Resume struct{ Server ServerID }
+	// Fellows tells how many other processes decide for the same proxy, as while a new one takes over from an old one.
+	// What a cold server may be sent by the proxy is shared among them.
+	Fellows struct{ Processes int }
 	// PeerMessage is a message from another balancer.
 	PeerMessage struct {
 		From int
@@ -254,6 +257,7 @@
 func (Probed) event()       {}
 func (Suspend) event()      {}
 func (Resume) event()       {}
+func (Fellows) event()      {}
 func (PeerMessage) event()  {}
 
 // Action is something to carry out for a balancer. Actions are carried out in order.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -111,6 +111,8 @@
 		b.onSuspend(e.Server)
 	case Resume:
 		b.onResume(e.Server)
+	case Fellows:
+		b.fellows = max(0, e.Processes)
 	case Arrival:
 		b.onArrival(e)
 	case Inherited:
@@ -883,7 +885,7 @@
 	warm := safe.ColdFrom + (1-safe.ColdFrom)*float64(max(age, 0))/float64(safe.ColdFor)
 	pace := b.capacityOf(s) / max(safe.ColdFor, reportLife).Seconds()
 	allowed := coldCaution * safe.OverloadFactor * warm * pace * safe.TipAfter.Seconds()
-	return allowed / float64(b.set.Balancers)
+	return allowed / float64(b.set.Balancers*(1+b.fellows))
 }
 
 // ---- Discovery ----
--- a/balance/state.go
+++ b/balance/state.go
@@ -27,6 +27,7 @@
 	now      time.Duration
 	started  bool
 	out      []Action
+	fellows  int       // other processes that decide for this proxy
 	servers  []*server // listed, in the order of their first listing
 	byID     map[ServerID]*server
 	bans     map[ServerID]time.Duration // servers out by hand, since when
--- a/cmd/lichenhitch/operate.go
+++ b/cmd/lichenhitch/operate.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lichenhitch/balance"
-	"lichenhitch/internal/life"
+	"lichenhitch/internal/handover"
 	"lichenhitch/internal/management"
 )
 
@@ -17,10 +17,12 @@
 
 // The reasons why a node is not ready.
 var (
-	errDrained = errors.New("the node is drained")
-	errLeaving = errors.New("the node leaves")
-	errOldList = errors.New("discovery has not answered yet")
-	errNoList  = errors.New("there is no list of hosts yet")
+	errDrained   = errors.New("the node is drained")
+	errLeaving   = errors.New("the node leaves")
+	errSucceeded = errors.New("another process of the node has taken over")
+	errDoor      = errors.New("the door is not open yet")
+	errOldList   = errors.New("discovery has not answered yet")
+	errNoList    = errors.New("there is no list of hosts yet")
 )
 
 // Ready implements management.Node.
@@ -30,6 +32,20 @@
 		return errLeaving
 	case n.service.Drained:
 		return errDrained
+	case n.service.Succeeded:
+		return errSucceeded
+	case !n.ready:
+		if err := n.usable(); err != nil {
+			return err
+		}
+		return errDoor
+	}
+	return nil
+}
+
+// usable returns nil where there is a list to serve with.
+func (n *node) usable() error {
+	switch {
 	case !n.group.Known():
 		return errNoList
 	case !n.group.Answered() && n.loop.Now()-n.begun < knownEnough:
@@ -44,8 +60,12 @@
 		done(management.ErrUnknown)
 		return
 	}
-	n.core.Suspend(balance.ServerID(host), n.loop.Now())
-	done(nil)
+	since := n.loop.Now()
+	n.change(func(st *handover.State) {
+		if _, out := st.Bans[host]; !out {
+			st.Bans[host] = since
+		}
+	}, done)
 }
 
 // Resume implements management.Node. One that is not out is in use already.
@@ -54,18 +74,15 @@
 		done(management.ErrUnknown)
 		return
 	}
-	n.core.Resume(balance.ServerID(host))
-	done(nil)
+	n.change(func(st *handover.State) { delete(st.Bans, host) }, done)
 }
 
 // Drain implements management.Node.
 func (n *node) Drain(done func(error)) {
-	n.ask(life.Drain)
-	done(nil)
+	n.change(func(st *handover.State) { st.Drained = true }, done)
 }
 
 // Activate implements management.Node.
 func (n *node) Activate(done func(error)) {
-	n.ask(life.Activate)
-	done(nil)
+	n.change(func(st *handover.State) { st.Drained = false }, done)
 }
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -66,6 +66,9 @@
 	return d
 }
 
+// Limit changes above how many connections queries are throttled.
+func (d *Door) Limit(maxLinks int) { d.maxLinks = maxLinks }
+
 // Accept gives a connection its handler. Until it has a query, it is the first to go when there are too many.
 func (d *Door) Accept(link *evloop.Link) evloop.Handler {
 	c := &Client{door: d, link: link}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 	Sockets    int // descriptors that it may hold
 	Known      *hostgroup.List
 	Settings   balance.Settings
+	Dir        string // where processes of one node share what they must
 }
 
 // Load reads the configuration at the start; getenv is os.Getenv outside tests. The environment wins over the file.
@@ -60,6 +61,7 @@
 	}
 	root := gjson.ParseBytes(raw)
 	c := Config{MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
+	c.Dir = first(getenv("TMPDIR"), os.TempDir())
 	c.Name = first(getenv("GW_NAME"), root.Get("name").String())
 	if c.Listen, err = address(root, "listen", getenv, "GW_LISTEN"); err != nil {
 		return c, err
--- a/internal/evloop/dial.go
+++ b/internal/evloop/dial.go
@@ -149,6 +149,10 @@
 	c.fd = -1
 	conn, err := net.FileConn(file)
 	_ = file.Close()
+	if err == nil && conn.RemoteAddr() == nil { // it was reset meanwhile; gnet would ask for the address
+		_ = conn.Close()
+		err = syscall.ECONNRESET
+	}
 	if err == nil {
 		// The timer goes on until the connection is enrolled: an enrolment that fails tells nobody.
 		_, err = d.loop.el.Enroll(gnet.NewContext(context.Background(), c.link), conn)
--- a/internal/evloop/listen.go
+++ b/internal/evloop/listen.go
@@ -1,42 +1,154 @@
 package evloop
 
 import (
+	"context"
 	"errors"
 	"net"
+	"os"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// retireAfter is how long a listener that retires goes on accepting: a connection whose set-up was under way when the
+// other process began to listen comes up at once.
+const retireAfter = 20 * time.Millisecond
+
 // Listener accepts connections for the loop.
-type Listener struct{ ln net.Listener }
+type Listener struct {
+	loop   *Loop
+	ln     *net.TCPListener
+	accept func(*Link) Handler
+	done   chan struct{} // closed once nothing is accepted any more
+}
 
 // Listen accepts connections at addr until the listener is closed; accept gives each its handler. Accepting has
 // one goroutine of its own, since enrolling waits for the loop.
 func (l *Loop) Listen(addr string, accept func(*Link) Handler) (*Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+	return l.listen(net.ListenConfig{}, addr, accept)
+}
+
+// ListenShared is Listen for an address at which another process of this user may listen too, as long as both do so by
+// ListenShared. Of two, the later gets all connections that come from then on. Unless another is expected, the address
+// is asked for alone first: it is an error then if somebody listens there already.
+func (l *Loop) ListenShared(addr string, expected bool, accept func(*Link) Handler) (*Listener, error) {
+	if !expected {
+		alone, err := net.Listen("tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		addr = alone.Addr().String() // with the port that was given
+		if err := alone.Close(); err != nil {
+			return nil, err
+		}
+	}
+	n, err := l.listen(net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return onSocket(raw, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+	}}, addr, accept)
 	if err != nil {
 		return nil, err
 	}
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if err == nil {
-				_, err = l.client.EnrollContext(conn, &Link{loop: l, accept: accept})
-			}
-			if err != nil { // out of descriptors, most likely: free some, and go on
-				l.log.Warn("accepting a connection failed", "error", err)
-				l.Do(func() { l.shed() })
-				time.Sleep(10 * time.Millisecond)
-			}
+	raw, err := n.ln.SyscallConn()
+	if err == nil {
+		err = onSocket(raw, dealToLatest)
+	}
+	if err != nil { // the kernel then deals them out evenly until the other closes
+		l.log.Warn("new connections cannot be kept from another process at this address", "error", err)
+	}
+	return n, nil
+}
+
+// dealToLatest attaches a filter to the group of sockets that listen at an address: it names the socket that takes a
+// connection by its place. Two at most are there, and the later is the second; the kernel deals by hash where the
+// place named is empty, that is, where there is one only.
+func dealToLatest(fd int) error {
+	second := [1]unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 1}}
+	return os.NewSyscallError("setsockopt", unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+		&unix.SockFprog{Len: 1, Filter: &second[0]}))
+}
+
+// onSocket runs f with the descriptor of a connection.
+func onSocket(raw syscall.RawConn, f func(fd int) error) error {
+	var err error
+	if outer := raw.Control(func(fd uintptr) { err = f(int(fd)) }); outer != nil {
+		return outer
+	}
+	return err
+}
+
+func (l *Loop) listen(by net.ListenConfig, addr string, accept func(*Link) Handler) (*Listener, error) {
+	ln, err := by.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	n := &Listener{loop: l, ln: ln.(*net.TCPListener), accept: accept, done: make(chan struct{})}
+	go n.run()
+	return n, nil
+}
+
+func (n *Listener) run() {
+	defer close(n.done)
+	for {
+		conn, err := n.ln.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			n.takeQueued()
+			n.Close()
+			return
+		case err == nil:
+			err = n.enrol(conn)
+		}
+		if err != nil { // out of descriptors, most likely: free some, and go on
+			n.loop.log.Warn("accepting a connection failed", "error", err)
+			n.loop.Do(func() { n.loop.shed() })
+			time.Sleep(10 * time.Millisecond)
 		}
-	}()
-	return &Listener{ln}, nil
+	}
+}
+
+// enrol hands a connection to the loop. One whose peer has gone already has no remote address, which gnet asks for.
+func (n *Listener) enrol(conn net.Conn) error {
+	if conn.RemoteAddr() == nil {
+		return conn.Close()
+	}
+	_, err := n.loop.client.EnrollContext(conn, &Link{loop: n.loop, accept: n.accept})
+	return err
+}
+
+// takeQueued accepts what is still queued, and waits for nothing.
+func (n *Listener) takeQueued() {
+	raw, err := n.ln.SyscallConn()
+	for err == nil {
+		var fd int
+		if err = onSocket(raw, func(ln int) (err error) {
+			fd, _, err = unix.Accept4(ln, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			return err
+		}); err != nil {
+			break
+		}
+		file := os.NewFile(uintptr(fd), "queued")
+		var conn net.Conn
+		if conn, err = net.FileConn(file); err == nil {
+			err = n.enrol(conn)
+		}
+		_ = file.Close()
+	}
+	if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, net.ErrClosed) {
+		n.loop.log.Warn("accepting what was queued failed", "error", err)
+	}
 }
 
 // Addr returns the address, with the port that was given where 0 was asked for.
 func (n *Listener) Addr() string { return n.ln.Addr().String() }
 
-// Close stops accepting. Connections that were accepted stay.
+// Close stops accepting. Connections that were accepted stay; those that are queued are reset.
 func (n *Listener) Close() { _ = n.ln.Close() }
+
+// Wait waits until nothing is accepted any more, after Close or Retire. The loop must be running.
+func (n *Listener) Wait() { <-n.done }
+
+// Retire stops accepting in a moment, once what is queued has been accepted.
+func (n *Listener) Retire() { _ = n.ln.SetDeadline(time.Now().Add(retireAfter)) }
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -134,6 +134,15 @@
 // Held returns how many connections are open or being made, but for those that may be ended for want of room.
 func (l *Loop) Held() int { return l.links - l.spare.Len() }
 
+// Links returns how many connections are open or being made.
+func (l *Loop) Links() int { return l.links }
+
+// Limit changes how many connections there may be.
+func (l *Loop) Limit(links int) {
+	l.limits.Links = links
+	l.makeRoom()
+}
+
 // makeRoom ends spare connections while there are too many. Descriptors that run out would fail dials and accepts.
 func (l *Loop) makeRoom() {
 	for l.links > l.limits.Links && l.shed() {
--- a/internal/life/departure.go
+++ b/internal/life/departure.go
@@ -18,12 +18,13 @@
 // The orders.
 const (
 	Stay      Order = iota // look again in a moment
-	CloseDoor              // accept no more
+	CloseDoor              // accept no more than what is queued
 	SendAway               // answer what is owed, move what stands unless packets pass through, and stop
 	Ease                   // move some clients
+	OpenDoor               // accept again
 )
 
-var orderNames = [...]string{"stay", "close-door", "send-away", "ease"}
+var orderNames = [...]string{"stay", "close-door", "send-away", "ease", "open-door"}
 
 func (o Order) String() string { return orderNames[o] }
 
@@ -33,7 +34,6 @@
 type Departure struct {
 	PassThrough bool
 	Within      time.Duration // from SIGTERM; see StayWithin
-	Succeeded   bool          // another process of the node has taken the address over
 	Closed      bool          // CloseDoor was given
 	Gone        bool          // SendAway was given
 }
@@ -44,8 +44,7 @@
 }
 
 // Step says what to do a time after SIGTERM, when so many queries are owed an answer and so many connections stand.
-// Of CloseDoor and SendAway each is given once, in this order. Once the node is succeeded, the door
-// closes at once.
+// Of CloseDoor and SendAway each is given once, in this order.
 func (d Departure) Step(after time.Duration, owed, standing int) (Departure, Order) {
 	left := owed
 	if d.PassThrough {
@@ -54,11 +53,11 @@
 	switch {
 	case d.Gone:
 	case !d.Closed:
-		if after >= AcceptOn || d.Succeeded {
+		if after >= AcceptOn {
 			d.Closed = true
 			return d, CloseDoor
 		}
-	case left == 0 || after >= d.Within:
+	case left == 0 && after >= AcceptOn || after >= d.Within:
 		d.Gone = true
 		return d, SendAway
 	}
--- a/internal/life/service.go
+++ b/internal/life/service.go
@@ -24,16 +24,19 @@
 
 func (w Wish) String() string { return wishNames[w] }
 
-// Service is what a node is to its clients: it serves; or it drains, which may be taken back; or it leaves. The zero
-// value but for its first two fields serves.
+// Service is what a process of a node is to its clients: it serves; or it drains, which may be taken back; or another
+// process of the node has taken the address over, which ends where that process does; or it leaves. The zero value but
+// for its first two fields serves.
 type Service struct {
 	PassThrough bool
-	Within      time.Duration // how long the node may stay once it leaves; see StayWithin
+	Within      time.Duration // how long the process may stay once it leaves; see StayWithin
 	Drained     bool
+	Succeeded   bool
 	Leaving     bool
-	Since       time.Duration // of the drain
-	EasedAt     time.Duration // when clients were last moved because of it
-	Left        time.Duration // when the node began to leave
+	Shut        bool          // the door is closed
+	Since       time.Duration // when the clients began to be moved
+	EasedAt     time.Duration // when some last were
+	Left        time.Duration // when the process began to leave
 	Departure   Departure
 }
 
@@ -41,9 +44,8 @@
 func (s Service) Ask(w Wish, now time.Duration) Service {
 	switch w {
 	case Drain:
-		if !s.Drained {
-			s.Drained, s.Since, s.EasedAt = true, now, 0
-		}
+		s = s.empties(now)
+		s.Drained = true
 	case Activate:
 		s.Drained = false
 	case Depart:
@@ -55,22 +57,50 @@
 	return s
 }
 
-// Serving says whether the node wants clients: what PING and readyz ask.
-func (s Service) Serving() bool { return !s.Drained && !s.Leaving }
+// Succeed takes the news whether another process has taken the address over.
+func (s Service) Succeed(succeeded bool, now time.Duration) Service {
+	if succeeded {
+		s = s.empties(now)
+	}
+	s.Succeeded = succeeded
+	return s
+}
+
+// empties notes when the clients begin to be moved.
+func (s Service) empties(now time.Duration) Service {
+	if !s.Drained && !s.Succeeded {
+		s.Since, s.EasedAt = now, 0
+	}
+	return s
+}
+
+// Serving says whether clients that come to the node's address are wanted there: what PING asks. A process that was
+// succeeded answers for the other one, should it still be asked.
+func (s Service) Serving() bool { return !s.Drained && (!s.Leaving || s.Succeeded) }
+
+// Quiet says whether nothing is to be done until the next wish or news: Step need not be called.
+func (s Service) Quiet() bool { return !s.Drained && !s.Leaving && !s.Succeeded && !s.Shut }
 
 // Step says what to do at a time, when so many queries are owed an answer and so many connections stand, and how many
-// clients are to be moved for Ease. It is to be called every few milliseconds while the node does not serve. succeeded
-// says that another process of this node has taken the address over.
-func (s Service) Step(now time.Duration, owed, standing int, succeeded bool) (Service, Order, int) {
+// clients are to be moved for Ease. It is to be called every few milliseconds while the process is not Quiet.
+func (s Service) Step(now time.Duration, owed, standing int) (Service, Order, int) {
+	switch {
+	case s.Succeeded && !s.Shut:
+		s.Shut = true
+		return s, CloseDoor, 0
+	case !s.Succeeded && s.Shut && !s.Leaving:
+		s.Shut = false
+		return s, OpenDoor, 0
+	}
 	if s.Leaving {
+		s.Departure.Closed = s.Departure.Closed || s.Shut
 		var order Order
-		s.Departure.Succeeded = succeeded
-		s.Departure, order = s.Departure.Step(now-s.Left, owed, standing)
-		if order != Stay {
+		if s.Departure, order = s.Departure.Step(now-s.Left, owed, standing); order != Stay {
+			s.Shut = true
 			return s, order, 0
 		}
 	}
-	if !s.Drained || s.PassThrough || standing == 0 || now-s.EasedAt < easeEvery {
+	if !s.Drained && !s.Succeeded || s.PassThrough || standing == 0 || now-s.EasedAt < easeEvery {
 		return s, Stay, 0
 	}
 	s.EasedAt = now
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -260,6 +261,12 @@
 	}
 }
 
+// Suspended returns the hosts that are out by hand.
+func (c *Core) Suspended() []balance.ServerID { return slices.Sorted(maps.Keys(c.bans)) }
+
+// Fellows tells how many other processes of this node place queries too.
+func (c *Core) Fellows(n int) { c.feed(balance.Fellows{Processes: n}) }
+
 // drained says whether nothing may be sent to a host any more.
 func (c *Core) drained(server balance.ServerID) bool {
 	if since, out := c.bans[server]; out && c.clock.Now()-since >= c.grace {
