--- a/cmd/lichenhitch/operate.go
+++ b/cmd/lichenhitch/operate.go
@@ -34,7 +34,7 @@
 		return errDrained
 	case n.service.Succeeded:
 		return errSucceeded
-	case !n.ready:
+	case !n.ready || n.listener == nil:
 		if err := n.usable(); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,138 @@
+package handover
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func join(t *testing.T, dir string) (*Store, State, chan State) {
+	t.Helper()
+	told := make(chan State, 100)
+	s, st, err := Join(slog.New(slog.NewTextHandler(io.Discard, nil)), dir, "a/node", func(st State) { told <- st })
+	require.NoError(t, err)
+	s.Watch()
+	t.Cleanup(s.Leave)
+	return s, st, told
+}
+
+// change has the state changed and waits until that stands.
+func change(t *testing.T, s *Store, apply func(*State)) State {
+	t.Helper()
+	done := make(chan State)
+	s.Change(apply, func(st State, err error) {
+		assert.NoError(t, err)
+		done <- st
+	})
+	return <-done
+}
+
+// until waits for a state that another process brought about.
+func until(told chan State, ok func(State) bool) State {
+	for st := range told {
+		if ok(st) {
+			return st
+		}
+	}
+	return State{}
+}
+
+func TestTwoProcessesHoldOneState(t *testing.T) {
+	dir := t.TempDir()
+	first, st, told := join(t, dir)
+	assert.Empty(t, st.Bans)
+	change(t, first, func(st *State) { st.Bans["s-1"] = 5 * time.Second })
+
+	second, st, toldToo := join(t, dir)
+	assert.Equal(t, map[string]time.Duration{"s-1": 5 * time.Second}, st.Bans)
+	assert.True(t, st.Preceded(second.Number()))
+	assert.False(t, st.Succeeded(first.Number()), "it is not ready")
+	second.Own(func(p *Process) { p.Ready, p.Links = true, 7 }, func(State, error) {})
+	st = until(told, func(st State) bool { return st.Succeeded(first.Number()) })
+	processes, links := st.Others(first.Number())
+	assert.Equal(t, [2]int{1, 7}, [2]int{processes, links})
+	assert.False(t, st.Succeeded(second.Number()))
+
+	change(t, first, func(st *State) {
+		delete(st.Bans, "s-1")
+		st.Drained = true
+	})
+	st = until(toldToo, func(st State) bool { return st.Drained })
+	assert.Empty(t, st.Bans)
+
+	second.Leave()
+	st = until(told, func(st State) bool { return !st.Succeeded(first.Number()) })
+	assert.Len(t, st.Processes, 1)
+	assert.True(t, st.Drained)
+}
+
+// Two that change the file at once lose nothing of each other's.
+func TestNoChangeIsLost(t *testing.T) {
+	dir := t.TempDir()
+	first, _, _ := join(t, dir)
+	second, _, _ := join(t, dir)
+	finished := make(chan bool)
+	for i, s := range []*Store{first, second} {
+		go func() {
+			for n := range 50 {
+				change(t, s, func(st *State) { st.Bans[string(rune('a'+i))+string(rune('0'+n))] = 1 })
+			}
+			finished <- true
+		}()
+	}
+	<-finished
+	<-finished
+	assert.Len(t, change(t, first, func(*State) {}).Bans, 100)
+}
+
+// A process that was killed leaves its entry and gives up its lock; nobody takes it for one that is there.
+func TestAProcessThatWasKilledIsNotThere(t *testing.T) {
+	dir := t.TempDir()
+	first, _, told := join(t, dir)
+	second, _, _ := join(t, dir)
+	second.Own(func(p *Process) { p.Ready = true }, func(State, error) {})
+	until(told, func(st State) bool { return st.Succeeded(first.Number()) })
+	require.NoError(t, second.lock.Close()) // as the end of the process does
+	until(told, func(st State) bool { return !st.Succeeded(first.Number()) })
+	third, st, _ := join(t, dir)
+	assert.True(t, st.Preceded(third.Number()))
+	assert.False(t, st.Succeeded(first.Number()))
+}
+
+// A file that was cut, at any byte, or is of another version is not taken for a state.
+func TestAFileIsReadWholeOrNotAtAll(t *testing.T) {
+	raw, err := encode(State{Bans: map[string]time.Duration{"s": 1}, Drained: true, Processes: []Process{{Number: 3}}})
+	require.NoError(t, err)
+	for i := range len(raw) - 2 {
+		_, err := decode(raw[:i])
+		require.Error(t, err, "cut at byte %d", i)
+	}
+	st, err := decode(raw)
+	require.NoError(t, err)
+	assert.Equal(t, 3, st.Processes[0].Number)
+	_, err = decode([]byte(`{"Version":2,"End":true}`))
+	assert.ErrorContains(t, err, "of version 2, not 1")
+	_, err = decode([]byte(`{"Version":1}`))
+	assert.ErrorContains(t, err, "its end is missing")
+}
+
+// A change that cannot be written is told, and nothing of it holds.
+func TestAChangeThatCannotBeWrittenIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	s, _, _ := join(t, dir)
+	require.NoError(t, os.Mkdir(filepath.Join(dir, "lichenhitch-a%2Fnode.state.0"), 0o700)) // in the way of what is written beside
+	failed := make(chan error)
+	s.Change(func(st *State) { st.Drained = true }, func(st State, err error) {
+		assert.False(t, st.Drained)
+		failed <- err
+	})
+	require.Error(t, <-failed)
+	require.NoError(t, os.Remove(filepath.Join(dir, "lichenhitch-a%2Fnode.state.0")))
+	assert.True(t, change(t, s, func(st *State) { st.Drained = true }).Drained)
+}
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -51,6 +51,7 @@
 	stop    chan struct{}
 	stopped chan struct{}
 	once    sync.Once
+	watched bool
 
 	// These belong to the goroutine of the store.
 	last State
@@ -95,8 +96,11 @@
 // Number returns this process's own number.
 func (s *Store) Number() int { return s.number }
 
-// Watch begins to look for changes.
-func (s *Store) Watch() { go s.run() }
+// Watch begins to carry changes out and to look for those of others.
+func (s *Store) Watch() {
+	s.watched = true
+	go s.run()
+}
 
 // Change has the state changed and calls done, from the store's goroutine, with the new state once that stands in the
 // file, or with an error and the state as it was. It never waits; after Leave, done is not called any more.
@@ -120,8 +124,11 @@
 // Leave takes this process out of the file and ends the watch.
 func (s *Store) Leave() {
 	s.once.Do(func() {
-		close(s.stop)
-		<-s.stopped
+		if close(s.stop); s.watched {
+			<-s.stopped
+		} else {
+			s.run()
+		}
 		s.lock.Close() // gives up all locks too
 	})
 }
@@ -132,6 +139,12 @@
 	defer look.Stop()
 	for {
 		select {
+		case <-s.stop:
+			_ = s.update(func(st *State) error {
+				st.Processes = slices.DeleteFunc(st.Processes, func(p Process) bool { return p.Number == s.number })
+				return nil
+			})
+			return
 		case c := <-s.changes:
 			err := s.update(func(st *State) error {
 				c.apply(st)
@@ -147,12 +160,6 @@
 			if !reflect.DeepEqual(before, s.last) {
 				s.tell(s.last.clone())
 			}
-		case <-s.stop:
-			_ = s.update(func(st *State) error {
-				st.Processes = slices.DeleteFunc(st.Processes, func(p Process) bool { return p.Number == s.number })
-				return nil
-			})
-			return
 		}
 	}
 }
