--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -22,8 +22,8 @@
 	return s, st, told
 }
 
-// change has the state changed and waits until that stands.
-func change(t *testing.T, s *Store, apply func(*State)) State {
+// alter has the state changed and waits until that stands.
+func alter(t *testing.T, s *Store, apply func(*State)) State {
 	t.Helper()
 	done := make(chan State)
 	s.Change(apply, func(st State, err error) {
@@ -47,7 +47,7 @@
 	dir := t.TempDir()
 	first, st, told := join(t, dir)
 	assert.Empty(t, st.Bans)
-	change(t, first, func(st *State) { st.Bans["s-1"] = 5 * time.Second })
+	alter(t, first, func(st *State) { st.Bans["s-1"] = 5 * time.Second })
 
 	second, st, toldToo := join(t, dir)
 	assert.Equal(t, map[string]time.Duration{"s-1": 5 * time.Second}, st.Bans)
@@ -59,7 +59,7 @@
 	assert.Equal(t, [2]int{1, 7}, [2]int{processes, links})
 	assert.False(t, st.Succeeded(second.Number()))
 
-	change(t, first, func(st *State) {
+	alter(t, first, func(st *State) {
 		delete(st.Bans, "s-1")
 		st.Drained = true
 	})
@@ -81,14 +81,14 @@
 	for i, s := range []*Store{first, second} {
 		go func() {
 			for n := range 50 {
-				change(t, s, func(st *State) { st.Bans[string(rune('a'+i))+string(rune('0'+n))] = 1 })
+				alter(t, s, func(st *State) { st.Bans[string(rune('a'+i))+string(rune('0'+n))] = 1 })
 			}
 			finished <- true
 		}()
 	}
 	<-finished
 	<-finished
-	assert.Len(t, change(t, first, func(*State) {}).Bans, 100)
+	assert.Len(t, alter(t, first, func(*State) {}).Bans, 100)
 }
 
 // A process that was killed leaves its entry and gives up its lock; nobody takes it for one that is there.
@@ -134,5 +134,5 @@
 	})
 	require.Error(t, <-failed)
 	require.NoError(t, os.Remove(filepath.Join(dir, "lichenhitch-a%2Fnode.state.0")))
-	assert.True(t, change(t, s, func(st *State) { st.Drained = true }).Drained)
+	assert.True(t, alter(t, s, func(st *State) { st.Drained = true }).Drained)
 }
