--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -95,8 +95,12 @@
 func TestAProcessThatWasKilledIsNotThere(t *testing.T) {
 	dir := t.TempDir()
 	first, _, told := join(t, dir)
-	second, _, _ := join(t, dir)
-	second.Own(func(p *Process) { p.Ready = true }, func(State, error) {})
+	second, _, err := Join(first.log, dir, "a/node", nil)
+	require.NoError(t, err)
+	require.NoError(t, second.update(func(st *State) error {
+		st.process(second.Number()).Ready = true
+		return nil
+	}))
 	until(told, func(st State) bool { return st.Succeeded(first.Number()) })
 	require.NoError(t, second.lock.Close()) // as the end of the process does
 	until(told, func(st State) bool { return !st.Succeeded(first.Number()) })
