New settings at SIGHUP: classes, effects and attempts, taken whole or not at all

Change: a new value of the settings goes to the balancer, the core, the client links and the server links in one turn of the loop; each request keeps a reference to the settings that it came under. Deadlines, aims and attempts must be positive and a key that the file had before may not be missing.

--- a/balance/api.go
+++ b/balance/api.go
@@ -235,6 +235,8 @@
 	Suspend struct{ Server ServerID }
 	// Resume takes a Suspend back. The server counts as just started, unless a start was told meanwhile.
 	Resume struct{ Server ServerID }
+	// Retuned brings new settings. Requests that have come keep those they came under.
+	Retuned struct{ Settings Settings }
 	// Fellows tells how many other processes decide for the same proxy, as while a new one takes over from an old one.
 	// What a cold server may be sent by the proxy is shared among them.
 	Fellows struct{ Processes int }
@@ -257,6 +259,7 @@
 func (Probed) event()       {}
 func (Suspend) event()      {}
 func (Resume) event()       {}
+func (Retuned) event()      {}
 func (Fellows) event()      {}
 func (PeerMessage) event()  {}
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -68,8 +68,6 @@
 // New returns a balancer with the given settings. All its chance comes from seed.
 func New(set Settings, seed uint64) *Balancer {
 	b := &Balancer{
-		set:      set,
-		classes:  make(map[string]Class, len(set.Classes)),
 		rng:      rand.New(rand.NewPCG(seed, seed)),
 		byID:     make(map[ServerID]*server),
 		bans:     make(map[ServerID]time.Duration),
@@ -77,11 +75,25 @@
 		requests: make(map[RequestID]*request),
 		tenants:  make(map[string]*tenant),
 	}
-	b.set.Balancers = max(1, set.Balancers)
-	b.set.MaxAttempts = max(1, set.MaxAttempts)
+	b.adopt(set)
+	return b
+}
+
+// adopt takes settings up for all that comes from now on. What a tenant has open stays counted.
+func (b *Balancer) adopt(set Settings) {
+	set.Balancers = max(1, set.Balancers)
+	set.MaxAttempts = max(1, set.MaxAttempts)
+	b.set, b.classes = &set, make(map[string]Class, len(set.Classes))
+	b.quotas, b.setUpAim, b.aim = 0, 0, 0
+	before := b.tenants
+	b.tenants = make(map[string]*tenant)
 	for _, t := range set.Tenants {
 		if b.quotas += max(0, t.Quota); t.Quota > 0 {
-			b.tenants[t.Name] = &tenant{quota: t.Quota}
+			b.tenants[t.Name] = &tenant{}
+			if before[t.Name] != nil {
+				b.tenants[t.Name] = before[t.Name]
+			}
+			b.tenants[t.Name].quota = t.Quota
 		}
 	}
 	for _, c := range set.Classes {
@@ -93,7 +105,9 @@
 			b.aim = c.MessageAim
 		}
 	}
-	return b
+	if b.started && set.Probes {
+		b.look()
+	}
 }
 
 // Handle takes one event that happened at now and returns the actions that answer it. The slice is valid
@@ -111,6 +125,8 @@
 		b.onSuspend(e.Server)
 	case Resume:
 		b.onResume(e.Server)
+	case Retuned:
+		b.adopt(e.Settings)
 	case Fellows:
 		b.fellows = max(0, e.Processes)
 	case Arrival:
@@ -584,7 +600,8 @@
 
 func (b *Balancer) onArrival(e Arrival) {
 	class := b.classes[e.Class]
-	r := &request{Arrival: e, class: class, deadline: b.now + e.TimeLeft, mayRun: -1, weight: b.weigh(e.Load)}
+	r := &request{Arrival: e, set: b.set, class: class, deadline: b.now + e.TimeLeft, mayRun: -1}
+	r.weight = b.weigh(e.Load)
 	r.tenant = b.tenants[e.Tenant]
 	b.requests[e.Request] = r
 	b.recent.add(1, b.now, reportLife)
@@ -614,7 +631,7 @@
 // place sends a request to the best server, holds it while there is none, or answers it.
 func (b *Balancer) place(r *request) {
 	left := r.deadline - b.now
-	if left <= b.set.Tick || len(r.attempts) >= b.set.MaxAttempts {
+	if left <= b.set.Tick || len(r.attempts) >= r.set.MaxAttempts {
 		b.answer(r)
 		return
 	}
@@ -637,7 +654,7 @@
 	}
 	b.release(r)
 	timeout := left // cut so that another attempt has time, unless it would be the last
-	if len(r.attempts)+1 < b.set.MaxAttempts && r.class.Effect != Unsafe {
+	if len(r.attempts)+1 < r.set.MaxAttempts && r.class.Effect != Unsafe {
 		timeout = min(left, max(r.class.Aim, min(left/2, 2*r.class.Aim)))
 	}
 	r.attempts = append(r.attempts, attempt{server: s, sentAt: b.now, ahead: s.settingUp, pending: true})
@@ -651,7 +668,7 @@
 // answer ends a request unserved: a refusal where that is harmless, else a failure.
 func (b *Balancer) answer(r *request) {
 	if b.mayRefuse(r) {
-		b.act(Refuse{Request: r.Request, RetryAfter: b.set.MaxRetryAfter/2 + b.jitter(b.set.MaxRetryAfter/2)})
+		b.act(Refuse{Request: r.Request, RetryAfter: r.set.MaxRetryAfter/2 + b.jitter(r.set.MaxRetryAfter/2)})
 	} else {
 		b.act(Fail{Request: r.Request})
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -19,7 +19,7 @@
 
 // Balancer decides for one proxy. It is not safe for concurrent use.
 type Balancer struct {
-	set      Settings
+	set      *Settings // never changed, only replaced
 	classes  map[string]Class
 	tenants  map[string]*tenant
 	quotas   float64 // sum of the tenants' quotas
@@ -128,6 +128,7 @@
 
 type request struct {
 	Arrival
+	set      *Settings // that it came under
 	class    Class
 	tenant   *tenant // nil where there are no shares
 	weight   float64
@@ -262,7 +263,7 @@
 	if s == nil {
 		s = &server{Listing: Listing{Server: e.Server, State: Gone}}
 	}
-	r := &request{Arrival: e.Arrival, class: b.classes[e.Class], mayRun: 0, weight: b.weigh(e.Load)}
+	r := &request{Arrival: e.Arrival, set: b.set, class: b.classes[e.Class], mayRun: 0, weight: b.weigh(e.Load)}
 	r.tenant = b.tenants[e.Tenant]
 	r.attempts = []attempt{{server: s, sentAt: b.now, pending: true, established: true}}
 	b.requests[e.Request] = r
--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -67,7 +68,7 @@
 	for {
 		select {
 		case <-reload:
-			n.reload(config.Reload(os.Getenv))
+			n.reload(config.Reload(os.Getenv, n.cfg))
 		case s := <-quit:
 			n.log.Info("leaving", "signal", s.String())
 			n.leave()
@@ -85,6 +86,7 @@
 	core    *query.Core
 	group   *hostgroup.Group
 	door    *clientlink.Door
+	hosts   *serverlink.Hosts
 	desk    *evloop.Listener // of the management address; nil where there is none
 	store   *handover.Store  // nil where nothing can be shared with another process
 	number  int              // of this process, as the store counts
@@ -119,12 +121,12 @@
 	n.core = query.New(log, ticks, cfg.Settings, cfg.Seed)
 	ticks.core = n.core
 	n.group = hostgroup.New(log, n.loop, n.core, cfg.Discovery)
-	hosts := serverlink.New(log, n.loop, n.core, connectTimeout(cfg.Settings), n.group.Endpoint)
+	n.hosts = serverlink.New(log, n.loop, n.core, connectTimeout(cfg.Settings), n.group.Endpoint)
 	n.door = clientlink.New(log, n.loop, n.core, cfg.Settings, links-probeSockets,
 		func() bool { return n.service.Serving() })
 	n.join()
 	n.loop.Call(func() {
-		n.core.Connect(hosts, n.group)
+		n.core.Connect(n.hosts, n.group)
 		n.take(n.shared)
 		if cfg.Known != nil {
 			n.group.Restore(*cfg.Known)
@@ -193,8 +195,8 @@
 	return nil
 }
 
-// reload takes over what a new configuration changes, on SIGHUP. The file was read beside the loop. One that is
-// faulty, or only half written yet, changes nothing.
+// reload takes over what a new configuration changes, on SIGHUP. The file was read and checked beside the loop. One that
+// is faulty, or only half written yet, changes nothing.
 func (n *node) reload(cfg config.Config, err error) {
 	if err != nil {
 		n.log.Error("the new configuration is faulty; the old one stays", "error", err)
@@ -203,9 +205,19 @@
 	if fixed := cfg.Fixed(n.cfg); len(fixed) > 0 {
 		n.log.Warn("what has changed besides takes a restart", "keys", fixed)
 	}
-	n.log.Info("configuration read again", "discovery", cfg.Discovery, "before", n.cfg.Discovery)
-	n.cfg.Discovery = cfg.Discovery
-	n.loop.Call(func() { n.group.Relocate(cfg.Discovery) })
+	set := cfg.Settings
+	set.PassThrough = n.cfg.Settings.PassThrough
+	n.log.Info("configuration read again", "discovery", cfg.Discovery, "before", n.cfg.Discovery,
+		"settings changed", !reflect.DeepEqual(set, n.cfg.Settings))
+	longest := max(longestDeadline(set), longestDeadline(n.cfg.Settings)) // of queries that are open, too
+	n.loop.Call(func() {
+		n.cfg.Discovery, n.cfg.Settings, n.cfg.Keys = cfg.Discovery, set, cfg.Keys
+		n.core.Retune(set)
+		n.door.Retune(set)
+		n.hosts.Retune(connectTimeout(set))
+		n.service.Within = life.StayWithin(longest)
+		n.group.Relocate(cfg.Discovery)
+	})
 }
 
 // socketLimit is how many descriptors the node may hold: what it is told, or less where the system allows less.
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -52,8 +52,15 @@
 // more is served all the same.
 func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, set balance.Settings, maxLinks int,
 	serving func() bool) *Door {
-	d := &Door{serving: serving, log: log, loop: loop, core: core, classes: map[string]balance.Class{}, maxLinks: maxLinks,
-		retry: min(fullRetry, set.MaxRetryAfter), ids: map[string]bool{}, turned: map[error]int{}}
+	d := &Door{serving: serving, log: log, loop: loop, core: core, maxLinks: maxLinks, ids: map[string]bool{},
+		turned: map[error]int{}}
+	d.Retune(set)
+	return d
+}
+
+// Retune takes new settings up for connections whose first line comes from now on.
+func (d *Door) Retune(set balance.Settings) {
+	d.retry, d.classes, d.tenants = min(fullRetry, set.MaxRetryAfter), map[string]balance.Class{}, nil
 	for _, c := range set.Classes {
 		d.classes[c.Name] = c
 	}
@@ -63,7 +70,6 @@
 	for _, t := range set.Tenants {
 		d.tenants[t.Name] = true
 	}
-	return d
 }
 
 // Limit changes above how many connections queries are throttled.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,7 +8,6 @@
 	"math"
 	"net/netip"
 	"os"
-	"reflect"
 	"slices"
 	"strconv"
 
@@ -37,15 +36,22 @@
 	Sockets    int // descriptors that it may hold
 	Known      *hostgroup.List
 	Settings   balance.Settings
+	Keys       Keys   // that the file has
 	Dir        string // where processes of one node share what they must
 }
 
 // Load reads the configuration at the start; getenv is os.Getenv outside tests. The environment wins over the file.
 func Load(getenv func(string) string) (Config, error) { return read(getenv, false) }
 
-// Reload reads it again. The environment still tells how things were at the start, so that where discovery is, the
-// one thing that a running node takes over, is taken from the file.
-func Reload(getenv func(string) string) (Config, error) { return read(getenv, true) }
+// Reload reads it again for a node that runs by an earlier one. The environment still tells how things were at the start,
+// so that what a running node takes over is taken from the file. What the file had before may not be missing in it now.
+func Reload(getenv func(string) string, before Config) (Config, error) {
+	c, err := read(getenv, true)
+	if err == nil {
+		err = missing(before.Keys, c.Keys, "")
+	}
+	return c, err
+}
 
 func read(getenv func(string) string, again bool) (Config, error) {
 	path := getenv("GW_CONFIG")
@@ -60,7 +66,10 @@
 		return Config{}, fmt.Errorf("GW_CONFIG: %s: not valid JSON", path)
 	}
 	root := gjson.ParseBytes(raw)
-	c := Config{MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
+	if !root.IsObject() {
+		return Config{}, fmt.Errorf("GW_CONFIG: %s: not an object", path)
+	}
+	c := Config{Keys: keysOf(root), MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
 	c.Dir = first(getenv("TMPDIR"), os.TempDir())
 	c.Name = first(getenv("GW_NAME"), root.Get("name").String())
 	if c.Listen, err = address(root, "listen", getenv, "GW_LISTEN"); err != nil {
@@ -101,6 +110,9 @@
 	if c.Settings, err = settings.Decode([]byte(set.Raw)); err != nil {
 		return c, fmt.Errorf("settings.%w", err)
 	}
+	if err = settings.Check(c.Settings); err != nil {
+		return c, fmt.Errorf("settings.%w", err)
+	}
 	return c, nil
 }
 
@@ -111,7 +123,7 @@
 		"name": c.Name == before.Name, "listen": c.Listen == before.Listen,
 		"management":       c.Management == before.Management,
 		"limits.memory_mb": c.MemoryMB == before.MemoryMB, "limits.sockets": c.Sockets == before.Sockets,
-		"settings": reflect.DeepEqual(c.Settings, before.Settings),
+		"settings.extra.mode": c.Settings.PassThrough == before.Settings.PassThrough,
 	} {
 		if !same {
 			keys = append(keys, key)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,7 +12,8 @@
 
 const sound = `{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},"known":{"rev":41,"all":true,"targets":[]},
-"settings":{"me":2,"request_classes":[{"name":"c","semantics":"read_like","aim_us":300000}]}}`
+"settings":{"me":2,"permissions":{"max_attempts":4},
+"request_classes":[{"name":"c","semantics":"read_like","aim_us":300000,"deadline_us":900000}]}}`
 
 func load(t *testing.T, text string, env map[string]string) (Config, error) {
 	t.Helper()
--- /dev/null
+++ b/internal/config/keys.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/tidwall/gjson"
+)
+
+// Keys are the keys of an object, each with those of its own value. Those of a list are what all objects in it have.
+// A value that holds no object has none.
+type Keys map[string]Keys
+
+// passing are keys that may be missing in a later file though an earlier one had them: what tells of the start, and what
+// only some kinds of a class have.
+var passing = map[string]bool{"known": true, "settings.request_classes.group": true,
+	"settings.request_classes.window_us": true}
+
+func keysOf(v gjson.Result) Keys {
+	keys := Keys{}
+	switch {
+	case v.IsObject():
+		v.ForEach(func(name, value gjson.Result) bool {
+			if value.Type != gjson.Null {
+				keys[name.Str] = keysOf(value)
+			}
+			return true
+		})
+	case v.IsArray():
+		for i, e := range v.Array() {
+			if of := keysOf(e); i == 0 {
+				keys = of
+			} else {
+				maps.DeleteFunc(keys, func(name string, _ Keys) bool { return of[name] == nil })
+			}
+		}
+	}
+	return keys
+}
+
+// missing returns an error that names the first key, in the order of the alphabet, that was there before and is not now.
+func missing(before, now Keys, path string) error {
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		at := path + name
+		if passing[at] {
+			continue
+		}
+		if now[name] == nil {
+			return fmt.Errorf("%s: missing, but the file had it before", at)
+		}
+		if err := missing(before[name], now[name], at+"."); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -150,15 +150,25 @@
 
 // Build returns a core with a decider and a rule of one's own, for rehearsals. Connect must follow.
 func Build(log *slog.Logger, clock Clock, set balance.Settings, decider Decider, rule Rule) *Core {
-	c := &Core{log: log, clock: clock, balancer: decider, rule: rule, grace: set.Safety.DrainGrace,
+	c := &Core{log: log, clock: clock, balancer: decider, rule: rule,
 		queries: make(map[balance.RequestID]*Query), heard: make(map[balance.ServerID]time.Duration),
 		told: make(map[balance.ServerID]listed), bans: make(map[balance.ServerID]time.Duration)}
-	if c.grace <= 0 {
+	c.adopt(set)
+	return c
+}
+
+func (c *Core) adopt(set balance.Settings) {
+	if c.grace = set.Safety.DrainGrace; c.grace <= 0 {
 		c.grace = usualGrace
 	}
 	c.grace -= graceMargin
 	c.comeBack = min(comeBack, set.MaxRetryAfter)
-	return c
+}
+
+// Retune takes new settings up for what comes from now on. Queries that have come keep the rules they came under.
+func (c *Core) Retune(set balance.Settings) {
+	c.adopt(set)
+	c.feed(balance.Retuned{Settings: set})
 }
 
 // Connect gives the core its servers and its host group, and starts it.
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -38,6 +38,9 @@
 		probes: make(map[balance.ServerID]*probe)}
 }
 
+// Retune changes how long connecting may take.
+func (h *Hosts) Retune(connectTimeout time.Duration) { h.timeout = connectTimeout }
+
 // Attempt implements query.Servers.
 func (h *Hosts) Attempt(t query.Try, server balance.ServerID, within time.Duration) query.Attempt {
 	a := &attempt{hosts: h, try: t, until: h.loop.Now() + within}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,6 +84,32 @@
 	return c
 }
 
+// Check says which key is faulty or missing in settings that a node is to run by: what a decoder may leave out, but no
+// node can serve without.
+func Check(set balance.Settings) error {
+	if len(set.Classes) == 0 {
+		return errors.New("request_classes: there is none")
+	}
+	if set.MaxAttempts <= 0 {
+		return errors.New("permissions.max_attempts: missing, or not a positive number")
+	}
+	seen := map[string]bool{}
+	for i, c := range set.Classes {
+		switch {
+		case c.Name == "":
+			return fmt.Errorf("%s: missing", key("request_classes", i, "name"))
+		case seen[c.Name]:
+			return fmt.Errorf("%s: %q stands there twice", key("request_classes", i, "name"), c.Name)
+		case c.Deadline <= 0:
+			return fmt.Errorf("%s: missing, or not a positive number", key("request_classes", i, "deadline_us"))
+		case c.Aim <= 0:
+			return fmt.Errorf("%s: missing, or not a positive number", key("request_classes", i, "aim_us"))
+		}
+		seen[c.Name] = true
+	}
+	return nil
+}
+
 func key(list string, i int, name string) string {
 	if name == "" {
 		return fmt.Sprintf("%s.%d", list, i)
@@ -118,7 +144,9 @@
 func (in *reader) number(path string) float64 { return in.get(path, isNumber, "a number").Num }
 
 func (in *reader) count(path string) int {
-	fits := func(v gjson.Result) bool { return isNumber(v) && v.Num >= 0 && v.Num <= math.MaxInt32 }
+	fits := func(v gjson.Result) bool {
+		return isNumber(v) && v.Num >= 0 && v.Num <= math.MaxInt32 && v.Num == math.Trunc(v.Num)
+	}
 	return int(in.get(path, fits, "a whole number from 0").Num)
 }
 
