A new process takes the connections that stand over from the old one, unbroken

Ruled out: the door (0 requests ended there), and a map of flows for mid=1, since no connection came so.

Change: descriptors of both sides go over a Unix socket, with what the balancer must know and what was read and not passed on; pass-on and adopt are two events in the life of a query.

--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -98,9 +98,11 @@
 	retired  *evloop.Listener // the last one; what is queued there may still come
 	shared   handover.State   // as this process has taken it over
 	service  life.Service
-	pacing   bool // step is going to be called
-	ready    bool // the others know that the door is open and there is a list
-	others   int  // processes, and descriptors that they hold, as budget knows
+	pacing   bool               // step is going to be called
+	ready    bool               // the others know that the door is open and there is a list
+	passing  *passing           // connections on their way to a successor; nil where there are none
+	receiver *handover.Receiver // of connections from an earlier process
+	others   int                // processes, and descriptors that they hold, as budget knows
 	held     int
 	empty    chan struct{} // closed when the node has left
 }
@@ -134,6 +136,7 @@
 			n.core.List(balance.ListSaved, nil)
 		}
 		if n.shared.Preceded(n.number) {
+			n.receive()
 			log.Info("an earlier process serves; the door opens once there is a list", "listen", cfg.Listen)
 		} else if err = n.openDoor(); err != nil {
 			return
@@ -176,6 +179,7 @@
 	for _, l := range ending {
 		l.Wait()
 	}
+	n.endPassing()
 	n.loop.Stop()
 	if n.store != nil {
 		n.store.Leave()
@@ -266,6 +270,7 @@
 	if !n.pacing {
 		return
 	}
+	n.pass()
 	var order life.Order
 	var count int
 	n.service, order, count = n.service.Step(n.loop.Now(), n.core.Owed(), n.core.Standing())
--- a/cmd/lichenhitch/share.go
+++ b/cmd/lichenhitch/share.go
@@ -141,13 +141,17 @@
 
 // tellLinks tells the other processes, as long as there are any, how many descriptors this one holds.
 func (n *node) tellLinks() {
-	if others, _ := n.shared.Others(n.number); others == 0 {
-		return
+	if others, _ := n.shared.Others(n.number); others > 0 {
+		n.publish()
+		n.loop.After(tellLinks, n.tellLinks)
 	}
+}
+
+// publish tells how many descriptors this process holds, unless that is known.
+func (n *node) publish() {
 	mine := n.loop.Links() + ownSockets
 	i := slices.IndexFunc(n.shared.Processes, func(p handover.Process) bool { return p.Number == n.number })
 	if i >= 0 && n.shared.Processes[i].Links != mine {
 		n.store.Own(func(p *handover.Process) { p.Links = mine }, func(handover.State, error) {})
 	}
-	n.loop.After(tellLinks, n.tellLinks)
 }
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -83,6 +83,35 @@
 	return c
 }
 
+// Adopt makes a client link of a connection that stood at another process of the node, under its id. Resume must follow.
+func (d *Door) Adopt(link *evloop.Link, id string) *Client {
+	d.ids[id] = true
+	return &Client{door: d, link: link, open: line.Open{ID: id}, up: true}
+}
+
+// Resume gives an adopted client its query and hands on what came meanwhile.
+func (c *Client) Resume(q *query.Query) {
+	if c.query = q; c.over {
+		q.ClientGone(evloop.Clean(c.lost))
+		return
+	}
+	c.Received()
+}
+
+// ID returns the id that the client gave.
+func (c *Client) ID() string { return c.open.ID }
+
+// Idle says whether Detach would say yes.
+func (c *Client) Idle() bool { return c.up && !c.over && c.link.Idle() }
+
+// Detach takes the connection out of the loop for another process; see evloop.Link.Detach.
+func (c *Client) Detach() (fd int, unread []byte, ok bool) {
+	if fd, unread, ok = c.link.Detach(); ok {
+		c.leave()
+	}
+	return fd, unread, ok
+}
+
 // note counts a connection that is turned away. One that comes back at once, again and again, must stay cheap: the
 // log tells sums.
 func (d *Door) note(reason error) {
@@ -127,6 +156,7 @@
 	query *query.Query // once a first line has come
 	up    bool
 	over  bool
+	lost  error // why an adopted one ended before it had its query
 }
 
 // Opened implements evloop.Handler. The client speaks first.
@@ -136,6 +166,7 @@
 func (c *Client) Received() {
 	switch {
 	case c.over:
+	case c.up && c.query == nil: // an adopted one, in a moment
 	case c.up:
 		c.pass()
 	case c.query != nil:
@@ -238,6 +269,7 @@
 // Closed implements evloop.Handler.
 func (c *Client) Closed(err error) {
 	c.leave()
+	c.lost = err
 	if c.query != nil {
 		c.query.ClientGone(evloop.Clean(err))
 	}
--- a/internal/evloop/link.go
+++ b/internal/evloop/link.go
@@ -172,6 +172,27 @@
 	flushed()
 }
 
+// Detach takes the connection out of the loop without ending it: it returns a descriptor of it, which is the caller's
+// then, and what was received and not used up. The handler is not called back any more. It says no where the connection
+// is being made or ended, or its peer has not taken all that was written.
+func (k *Link) Detach() (fd int, unread []byte, ok bool) {
+	if !k.Idle() {
+		return -1, nil, false
+	}
+	fd, err := unix.FcntlInt(uintptr(k.conn.Fd()), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return -1, nil, false
+	}
+	unread = append(unread, k.Peek()...)
+	k.Close() // the other descriptor keeps the connection up
+	return fd, unread, true
+}
+
+// Idle says whether the connection stands and nothing that was written waits for its peer.
+func (k *Link) Idle() bool {
+	return !k.closed && k.ending == nil && k.conn != nil && k.conn.OutboundBuffered() == 0
+}
+
 // Close ends the connection. What was written goes out first: gnet's close writes once more what is queued.
 func (k *Link) Close() {
 	if k != nil {
--- a/internal/evloop/listen.go
+++ b/internal/evloop/listen.go
@@ -152,3 +152,21 @@
 
 // Retire stops accepting in a moment, once what is queued has been accepted.
 func (n *Listener) Retire() { _ = n.ln.SetDeadline(time.Now().Add(retireAfter)) }
+
+// Adopt brings a connection that another process had into the loop, as an accepted one, with what that process received
+// and did not use up. The descriptor is the loop's from then on. It is for other goroutines, and returns once accept was
+// called, or with an error.
+func (l *Loop) Adopt(fd int, unread []byte, accept func(*Link) Handler) error {
+	file := os.NewFile(uintptr(fd), "adopted")
+	conn, err := net.FileConn(file)
+	_ = file.Close()
+	if err != nil {
+		return err
+	}
+	if conn.RemoteAddr() == nil { // gnet would ask for it
+		_ = conn.Close()
+		return syscall.ECONNRESET
+	}
+	_, err = l.client.EnrollContext(conn, &Link{loop: l, accept: accept, in: unread})
+	return err
+}
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -31,11 +31,19 @@
 	Links  int  // descriptors that it holds, as last told
 }
 
-// Succeeded says whether a process that came later than another one is ready.
-func (s State) Succeeded(number int) bool {
-	return slices.ContainsFunc(s.Processes, func(p Process) bool { return p.Number > number && p.Ready })
+// Successor returns the number of the latest process that is ready and came after another one, or 0.
+func (s State) Successor(number int) (successor int) {
+	for _, p := range s.Processes {
+		if p.Number > number && p.Ready {
+			successor = max(successor, p.Number)
+		}
+	}
+	return successor
 }
 
+// Succeeded says whether a process that came later than another one is ready.
+func (s State) Succeeded(number int) bool { return s.Successor(number) > 0 }
+
 // Preceded says whether a process that came earlier is there.
 func (s State) Preceded(number int) bool {
 	return slices.ContainsFunc(s.Processes, func(p Process) bool { return p.Number < number })
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -53,6 +53,8 @@
 	Retry                    // the pause between two tries at the host of an inherited connection is over
 	Deadline                 // the client's time is nearly up
 	Leave                    // the node must stop now
+	PassOn                   // another process of the node carries the connection on from here
+	Adopt                    // this process carries on a connection that stood at another one
 	ClientGone               // the client has left
 	ClientFaulty             // the client spoke out of turn, or said what cannot be passed on
 	HostUp                   // the host says that the connection stands
@@ -66,7 +68,7 @@
 )
 
 var kindNames = [kinds]string{"arrive", "arrive-at", "place", "refuse", "give-up", "move", "retry", "deadline", "leave",
-	"client-gone", "client-faulty", "host-up", "host-served", "host-ended", "host-faulty", "host-behind", "host-drained",
+	"pass-on", "adopt", "client-gone", "client-faulty", "host-up", "host-served", "host-ended", "host-faulty", "host-behind", "host-drained",
 	"attempt-late"}
 
 func (k Kind) String() string { return kindNames[k] }
@@ -187,6 +189,9 @@
 	case ArriveAt:
 		s.Phase, s.Inherited, s.Attempts = Trying, true, 1
 		return s, list(Guard, Send)
+	case Adopt:
+		s.Phase, s.Inherited, s.Attempts = Up, true, 1
+		return s, list(TellInherited)
 	}
 	return s, list(Complain)
 }
@@ -296,6 +301,9 @@
 	case Move, Leave, HostFaulty, HostBehind, ClientFaulty:
 		s.Phase = Over
 		return s, list(MoveClient, CloseAttempt, Forget, TellOver)
+	case PassOn:
+		s.Phase = Over
+		return s, list(Forget, TellOver)
 	case HostServed, HostEnded:
 		s.Phase = Over
 		return s, list(EndClient, Forget, TellOver)
@@ -313,7 +321,7 @@
 // answer what is not waiting for it.
 func misplaced(k Kind) Effects {
 	switch k {
-	case Arrive, ArriveAt, Place, Refuse, GiveUp, Retry, Deadline:
+	case Arrive, ArriveAt, Adopt, Place, Refuse, GiveUp, Retry, Deadline:
 		return list(Complain)
 	}
 	return Effects{}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -201,6 +201,31 @@
 	}
 }
 
+// Carry offers the oldest connections that stand, so many of them, to another process of the node. What take says yes
+// to is over here, and neither of its ends is touched any more.
+func (c *Core) Carry(n int, take func(Client, Attempt, balance.Arrival, balance.ServerID) bool) {
+	all := c.standing()
+	inOrder(all)
+	for _, q := range all[:min(n, len(all))] {
+		if take(q.client, q.attempt, q.arrival, q.server) {
+			q.step(life.Event{Kind: life.PassOn}, &news{outcome: balance.Cancelled})
+		}
+	}
+}
+
+// Adopt carries on a connection that stood at a server through another process of the node. attach gives the attempt
+// its try.
+func (c *Core) Adopt(client Client, a balance.Arrival, server balance.ServerID, attempt Attempt, attach func(Try)) *Query {
+	c.last++
+	a.Request = c.last
+	q := &Query{core: c, client: client, arrival: a, at: server, server: server, attempt: attempt,
+		sentAt: c.clock.Now()}
+	c.queries[a.Request] = q
+	attach(Try{q, 1})
+	q.step(life.Event{Kind: life.Adopt}, &news{})
+	return q
+}
+
 // List brings news of the host group.
 func (c *Core) List(kind balance.ListKind, entries []balance.Listing) {
 	if kind != balance.ListFailed {
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -48,16 +48,63 @@
 	return a
 }
 
+// Adopted is a connection to a host that stood at another process of the node, until Attach says which try it is.
+type Adopted struct{ attempt }
+
+// Adopt makes a handler of such a connection.
+func (h *Hosts) Adopt(link *evloop.Link) *Adopted {
+	return &Adopted{attempt{hosts: h, link: link, sent: true, up: true, adopting: true}}
+}
+
+// Attach says which try it is. What came meanwhile is handed on by Resume.
+func (a *Adopted) Attach(t query.Try) { a.try, a.adopting = t, false }
+
+// Resume hands on what came before the try was attached, and tells the end of the connection if it came.
+func (a *Adopted) Resume() {
+	if a.lost != nil {
+		a.Closed(a.lost)
+		return
+	}
+	a.Received()
+}
+
+// Detach takes the connection of an attempt out of the loop for another process; see evloop.Link.Detach.
+func Detach(q query.Attempt) (fd int, unread []byte, ok bool) {
+	a := of(q)
+	if a == nil || !a.up || a.last != none {
+		return -1, nil, false
+	}
+	return a.link.Detach()
+}
+
+// Idle says whether Detach would say yes.
+func Idle(q query.Attempt) bool {
+	a := of(q)
+	return a != nil && a.up && a.last == none && a.link.Idle()
+}
+
+func of(q query.Attempt) *attempt {
+	switch a := q.(type) {
+	case *attempt:
+		return a
+	case *Adopted:
+		return &a.attempt
+	}
+	return nil
+}
+
 // attempt is a query's connection to a host.
 type attempt struct {
-	hosts *Hosts
-	try   query.Try
-	link  *evloop.Link
-	until time.Duration
-	sent  bool // the first line is written
-	up    bool
-	last  word // what the host said of the end
-	said  balance.Report
+	hosts    *Hosts
+	try      query.Try
+	link     *evloop.Link
+	until    time.Duration
+	sent     bool // the first line is written
+	up       bool
+	adopting bool  // it came from another process, and its try is not known yet
+	lost     error // it ended before that
+	last     word  // what the host said of the end
+	said     balance.Report
 }
 
 type word int
@@ -72,6 +119,9 @@
 
 // Opened implements evloop.Handler.
 func (a *attempt) Opened() {
+	if a.sent {
+		return // an adopted one
+	}
 	if !a.try.Open() {
 		return
 	}
@@ -82,6 +132,9 @@
 
 // Received implements evloop.Handler. Before UP, the lines are for the node; from then on they are the client's.
 func (a *attempt) Received() {
+	if a.adopting {
+		return
+	}
 	for !a.up {
 		text, n, err := line.Next(a.link.Peek())
 		if err != nil {
@@ -186,6 +239,10 @@
 
 // Closed implements evloop.Handler.
 func (a *attempt) Closed(err error) {
+	if a.adopting {
+		a.lost = err
+		return
+	}
 	if a.up && errors.Is(err, evloop.ErrNotReading) {
 		a.try.Behind()
 		return
