--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -89,13 +89,10 @@
 	return &Client{door: d, link: link, open: line.Open{ID: id}, up: true}
 }
 
-// Resume gives an adopted client its query and hands on what came meanwhile.
+// Resume gives an adopted client its query and hands on what has come.
 func (c *Client) Resume(q *query.Query) {
-	if c.query = q; c.over {
-		q.ClientGone(evloop.Clean(c.lost))
-		return
-	}
-	c.Received()
+	c.query = q
+	c.link.Resume()
 }
 
 // ID returns the id that the client gave.
@@ -156,7 +153,6 @@
 	query *query.Query // once a first line has come
 	up    bool
 	over  bool
-	lost  error // why an adopted one ended before it had its query
 }
 
 // Opened implements evloop.Handler. The client speaks first.
@@ -166,7 +162,6 @@
 func (c *Client) Received() {
 	switch {
 	case c.over:
-	case c.up && c.query == nil: // an adopted one, in a moment
 	case c.up:
 		c.pass()
 	case c.query != nil:
@@ -269,7 +264,6 @@
 // Closed implements evloop.Handler.
 func (c *Client) Closed(err error) {
 	c.leave()
-	c.lost = err
 	if c.query != nil {
 		c.query.ClientGone(evloop.Clean(err))
 	}
--- a/internal/evloop/link.go
+++ b/internal/evloop/link.go
@@ -54,6 +54,8 @@
 	spare   *list.Element // among those that may be ended for want of room
 	ending  *Timer        // of a finished connection
 	dropped int           // bytes that came after it was finished
+	paused  bool          // an adopted connection whose handler is not ready; what comes is kept
+	late    error         // its end, if that came meanwhile
 }
 
 func (k *Link) opened(c gnet.Conn) gnet.Action {
@@ -88,7 +90,13 @@
 	if k.closed {
 		return
 	}
-	k.in = append(k.in, data...)
+	if k.in = append(k.in, data...); !k.paused {
+		k.receive()
+	}
+}
+
+// receive has the handler look at what has come and makes room for more.
+func (k *Link) receive() {
 	k.handler.Received()
 	switch {
 	case k.closed || k.from < len(k.in) && k.from == 0:
@@ -103,6 +111,20 @@
 	}
 }
 
+// Resume calls back what came to an adopted connection since, and its end if it came.
+func (k *Link) Resume() {
+	if !k.paused {
+		return
+	}
+	k.paused = false
+	if len(k.in) > 0 && !k.closed {
+		k.receive()
+	}
+	if k.late != nil {
+		k.ended(k.late)
+	}
+}
+
 // Peek returns what was received and not yet used up. It is valid until the callback ends.
 func (k *Link) Peek() []byte {
 	if k.closed {
@@ -252,10 +274,14 @@
 	if k.closed {
 		return
 	}
-	k.gone()
 	if err == nil {
 		err = io.EOF
 	}
+	if k.paused {
+		k.late, k.conn = err, nil
+		return
+	}
+	k.gone()
 	k.loop.Defer(func() {
 		k.in = nil
 		k.tell(err)
--- a/internal/evloop/listen.go
+++ b/internal/evloop/listen.go
@@ -154,8 +154,8 @@
 func (n *Listener) Retire() { _ = n.ln.SetDeadline(time.Now().Add(retireAfter)) }
 
 // Adopt brings a connection that another process had into the loop, as an accepted one, with what that process received
-// and did not use up. The descriptor is the loop's from then on. It is for other goroutines, and returns once accept was
-// called, or with an error.
+// and did not use up. What comes is called back after Link.Resume. The descriptor is the loop's from then on. It is for
+// other goroutines, and returns once accept was called, or with an error.
 func (l *Loop) Adopt(fd int, unread []byte, accept func(*Link) Handler) error {
 	file := os.NewFile(uintptr(fd), "adopted")
 	conn, err := net.FileConn(file)
@@ -167,6 +167,6 @@
 		_ = conn.Close()
 		return syscall.ECONNRESET
 	}
-	_, err = l.client.EnrollContext(conn, &Link{loop: l, accept: accept, in: unread})
+	_, err = l.client.EnrollContext(conn, &Link{loop: l, accept: accept, in: unread, paused: true})
 	return err
 }
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -53,20 +53,14 @@
 
 // Adopt makes a handler of such a connection.
 func (h *Hosts) Adopt(link *evloop.Link) *Adopted {
-	return &Adopted{attempt{hosts: h, link: link, sent: true, up: true, adopting: true}}
+	return &Adopted{attempt{hosts: h, link: link, sent: true, up: true}}
 }
 
 // Attach says which try it is. What came meanwhile is handed on by Resume.
-func (a *Adopted) Attach(t query.Try) { a.try, a.adopting = t, false }
+func (a *Adopted) Attach(t query.Try) { a.try = t }
 
-// Resume hands on what came before the try was attached, and tells the end of the connection if it came.
-func (a *Adopted) Resume() {
-	if a.lost != nil {
-		a.Closed(a.lost)
-		return
-	}
-	a.Received()
-}
+// Resume hands on what has come.
+func (a *Adopted) Resume() { a.link.Resume() }
 
 // Detach takes the connection of an attempt out of the loop for another process; see evloop.Link.Detach.
 func Detach(q query.Attempt) (fd int, unread []byte, ok bool) {
@@ -95,16 +89,14 @@
 
 // attempt is a query's connection to a host.
 type attempt struct {
-	hosts    *Hosts
-	try      query.Try
-	link     *evloop.Link
-	until    time.Duration
-	sent     bool // the first line is written
-	up       bool
-	adopting bool  // it came from another process, and its try is not known yet
-	lost     error // it ended before that
-	last     word  // what the host said of the end
-	said     balance.Report
+	hosts *Hosts
+	try   query.Try
+	link  *evloop.Link
+	until time.Duration
+	sent  bool // the first line is written
+	up    bool
+	last  word // what the host said of the end
+	said  balance.Report
 }
 
 type word int
@@ -132,9 +124,6 @@
 
 // Received implements evloop.Handler. Before UP, the lines are for the node; from then on they are the client's.
 func (a *attempt) Received() {
-	if a.adopting {
-		return
-	}
 	for !a.up {
 		text, n, err := line.Next(a.link.Peek())
 		if err != nil {
@@ -239,10 +228,6 @@
 
 // Closed implements evloop.Handler.
 func (a *attempt) Closed(err error) {
-	if a.adopting {
-		a.lost = err
-		return
-	}
 	if a.up && errors.Is(err, evloop.ErrNotReading) {
 		a.try.Behind()
 		return
