--- a/balance/balance.go
+++ b/balance/balance.go
@@ -429,6 +429,8 @@
 		switch {
 		case s.State == Draining:
 			b.empty(s)
+		case s.unproven && s.State == Ready && b.now >= s.asideTo && !s.probing:
+			b.probe(s) // with little traffic its turn would be long in coming
 		case !b.set.Probes || b.noted || b.aim == 0 || len(s.conns) == 0 || s.probing:
 		case b.now-s.probedAt >= reportLife:
 			b.probe(s)
@@ -547,7 +549,7 @@
 			fresh += c
 		}
 	}
-	coming := b.recent.over(b.now, reportLife) * float64(b.set.Balancers-1) * fresh / max(all, 1)
+	coming := b.coming() * fresh / max(all, 1)
 	level := math.Inf(1)
 	for n := len(fit) + 1; ; {
 		below, room, water := 0, 0.0, coming
@@ -569,6 +571,18 @@
 	}
 }
 
+// span is over what time arrivals are counted: the life of a report, or several where so many balancers
+// share the traffic that one of them sees few in that time: the one just being placed would count for all.
+func (b *Balancer) span() time.Duration {
+	return reportLife * time.Duration(min(max(1, b.set.Balancers/8), 4))
+}
+
+// coming is how many arrivals come to the other balancers over the life of a report.
+func (b *Balancer) coming() float64 {
+	own := b.recent.over(b.now, b.span()) * float64(reportLife) / float64(b.span())
+	return own * float64(b.set.Balancers-1)
+}
+
 // permitted says whether a request may go to a server at all: it is ready, was not tried, and a repeat of
 // what may have run is dropped there.
 func (b *Balancer) permitted(r *request, s *server) bool {
@@ -604,7 +618,7 @@
 	r.weight = b.weigh(e.Load)
 	r.tenant = b.tenants[e.Tenant]
 	b.requests[e.Request] = r
-	b.recent.add(1, b.now, reportLife)
+	b.recent.add(1, b.now, b.span())
 	firstTry := !e.MidFlow && !e.Returning && !e.Repeat
 	b.survey()
 	r.homes = b.homesOf(e.Group)
@@ -941,7 +955,7 @@
 // It guards against a jam that feeds itself: full servers serve nobody, drop their clients, and these come
 // again. Where room is short, what a tenant sends beyond its share is the first to go.
 func (b *Balancer) crowdedOut(r *request, s *server) bool {
-	coming := b.recent.over(b.now, reportLife) * float64(b.set.Balancers-1)
+	coming := b.coming()
 	limit := ceiling
 	if t := r.tenant; t != nil && t.beyondShare(b.set.Balancers) {
 		coming, limit = 2*coming, overShare*ceiling
