News of another process that come along with a change of one's own are told

A change reads the file first; what another process had written meanwhile was then taken for known. Ruled out: the file's times and numbers, which differ with every rename. The test hangs without it.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -72,6 +72,23 @@
 	assert.True(t, st.Drained)
 }
 
+// What another process has changed may first be read on the way of a change of one's own. It is told all the same.
+func TestNewsThatComeWithOnesOwnChangeAreTold(t *testing.T) {
+	dir := t.TempDir()
+	first, _, told := join(t, dir)
+	second, _, err := Join(first.log, dir, "a/node", nil)
+	require.NoError(t, err)
+	for i := range 20 {
+		host := string(rune('a' + i))
+		require.NoError(t, second.update(func(st *State) error {
+			st.Bans[host] = 1
+			return nil
+		}))
+		first.Own(func(p *Process) { p.Links = i + 1 }, func(State, error) {})
+		until(told, func(st State) bool { return st.Bans[host] == 1 })
+	}
+}
+
 // Two that change the file at once lose nothing of each other's.
 func TestNoChangeIsLost(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -146,6 +146,7 @@
 			})
 			return
 		case c := <-s.changes:
+			before := s.last.clone()
 			err := s.update(func(st *State) error {
 				c.apply(st)
 				return nil
@@ -154,16 +155,22 @@
 				s.log.Error("the shared file could not be changed", "error", err)
 			}
 			c.done(s.last.clone(), err)
+			s.news(before) // what others have changed since the last look came along
 		case <-look.C:
 			before := s.last.clone()
 			s.look()
-			if !reflect.DeepEqual(before, s.last) {
-				s.tell(s.last.clone())
-			}
+			s.news(before)
 		}
 	}
 }
 
+// news tells the state unless it is as it was.
+func (s *Store) news(before State) {
+	if !reflect.DeepEqual(before, s.last.clone()) {
+		s.tell(s.last.clone())
+	}
+}
+
 // look reads the file if it was replaced, and leaves out processes that have ended.
 func (s *Store) look() {
 	if now, err := os.Stat(s.path); err == nil && s.seen != nil && os.SameFile(now, s.seen) &&
