--- a/cmd/lichenhitch/operate_test.go
+++ b/cmd/lichenhitch/operate_test.go
@@ -167,3 +167,24 @@
 	_, err := start(slog.New(slog.NewTextHandler(io.Discard, nil)), cfg)
 	assert.ErrorContains(t, err, "management: ")
 }
+
+// As many callers stall as there is room for, and clients keep coming: every good call is answered, and no client is
+// turned away for want of a descriptor, though the node may hold few.
+func TestStalledCallersTakeNothingFromClients(t *testing.T) {
+	h := newHost(t, "a", echo)
+	cfg := testConfig(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	cfg.Sockets = 64
+	n := startConfig(t, cfg)
+	for i := range 40 {
+		stalled, err := net.Dial("tcp", n.desk.Addr())
+		require.NoError(t, err)
+		t.Cleanup(func() { stalled.Close() })
+		_, err = io.WriteString(stalled, "POST /v1/node/drain HTTP/1.1\r\n"[:i%30])
+		require.NoError(t, err)
+		require.Equal(t, "UP r1\r\nBYE\r\n", ask(n.addr))
+		require.Equal(t, "200", call(t, n.desk.Addr(), "POST /v1/hosts/a/resume"))
+	}
+	var held int
+	n.loop.Call(func() { held = n.loop.Links() })
+	assert.LessOrEqual(t, held, cfg.Sockets-ownSockets)
+}
