--- a/internal/evloop/listen.go
+++ b/internal/evloop/listen.go
@@ -54,7 +54,7 @@
 		err = onSocket(raw, dealToLatest)
 	}
 	if err != nil { // the kernel then deals them out evenly until the other closes
-		l.log.Warn("new connections cannot be kept from another process at this address", "error", err)
+		l.log.Info("new connections cannot be kept from another process at this address", "error", err)
 	}
 	return n, nil
 }
