--- a/cmd/lichenhitch/share.go
+++ b/cmd/lichenhitch/share.go
@@ -66,8 +66,7 @@
 // change has the shared state changed. done is called once that stands in the file and in this process.
 func (n *node) change(apply func(*handover.State), done func(error)) {
 	if n.store == nil {
-		st := n.shared
-		st.Bans = n.bans()
+		st := n.shared.Clone()
 		apply(&st)
 		n.take(st)
 		done(nil)
@@ -83,15 +82,6 @@
 	})
 }
 
-// bans returns a copy of the hosts that are out.
-func (n *node) bans() map[string]time.Duration {
-	all := map[string]time.Duration{}
-	for host, since := range n.shared.Bans {
-		all[host] = since
-	}
-	return all
-}
-
 // arrive looks whether this process may call itself ready. While an earlier one serves, the door waits for a list: until
 // then that one serves better.
 func (n *node) arrive() {
--- a/internal/evloop/dial.go
+++ b/internal/evloop/dial.go
@@ -145,15 +145,8 @@
 	}
 	delete(d.dials, token)
 	_ = unix.EpollCtl(d.epoll, unix.EPOLL_CTL_DEL, c.fd, nil)
-	file := os.NewFile(uintptr(c.fd), "dial")
-	c.fd = -1
-	conn, err := net.FileConn(file)
-	_ = file.Close()
-	if err == nil && conn.RemoteAddr() == nil { // it was reset meanwhile; gnet would ask for the address
-		_ = conn.Close()
-		err = syscall.ECONNRESET
-	}
-	if err == nil {
+	conn, err := connOf(c.fd)
+	if c.fd = -1; err == nil {
 		// The timer goes on until the connection is enrolled: an enrolment that fails tells nobody.
 		_, err = d.loop.el.Enroll(gnet.NewContext(context.Background(), c.link), conn)
 	}
@@ -162,6 +155,19 @@
 	}
 }
 
+// connOf makes a connection of a descriptor, which it takes over. One that was reset meanwhile is an error: it has no
+// remote address, and gnet, which asks for that, would panic.
+func connOf(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "connection")
+	conn, err := net.FileConn(file)
+	_ = file.Close()
+	if err == nil && conn.RemoteAddr() == nil {
+		_ = conn.Close()
+		return nil, syscall.ECONNRESET
+	}
+	return conn, err
+}
+
 // cancel gives a dial up.
 func (c *dial) cancel() {
 	c.timer.Stop()
--- a/internal/evloop/listen.go
+++ b/internal/evloop/listen.go
@@ -109,11 +109,8 @@
 	}
 }
 
-// enrol hands a connection to the loop. One whose peer has gone already has no remote address, which gnet asks for.
+// enrol hands a connection to the loop.
 func (n *Listener) enrol(conn net.Conn) error {
-	if conn.RemoteAddr() == nil {
-		return conn.Close()
-	}
 	_, err := n.loop.client.EnrollContext(conn, &Link{loop: n.loop, accept: n.accept})
 	return err
 }
@@ -129,12 +126,12 @@
 		}); err != nil {
 			break
 		}
-		file := os.NewFile(uintptr(fd), "queued")
 		var conn net.Conn
-		if conn, err = net.FileConn(file); err == nil {
+		if conn, err = connOf(fd); err == nil {
 			err = n.enrol(conn)
+		} else if errors.Is(err, syscall.ECONNRESET) {
+			err = nil // its client has gone already
 		}
-		_ = file.Close()
 	}
 	if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, net.ErrClosed) {
 		n.loop.log.Warn("accepting what was queued failed", "error", err)
@@ -157,16 +154,10 @@
 // and did not use up. What comes is called back after Link.Resume. The descriptor is the loop's from then on. It is for
 // other goroutines, and returns once accept was called, or with an error.
 func (l *Loop) Adopt(fd int, unread []byte, accept func(*Link) Handler) error {
-	file := os.NewFile(uintptr(fd), "adopted")
-	conn, err := net.FileConn(file)
-	_ = file.Close()
+	conn, err := connOf(fd)
 	if err != nil {
 		return err
 	}
-	if conn.RemoteAddr() == nil { // gnet would ask for it
-		_ = conn.Close()
-		return syscall.ECONNRESET
-	}
 	_, err = l.client.EnrollContext(conn, &Link{loop: l, accept: accept, in: unread, paused: true})
 	return err
 }
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -69,7 +69,8 @@
 	return &s.Processes[i]
 }
 
-func (s State) clone() State {
+// Clone returns a copy that shares nothing with the state and whose Bans can be changed.
+func (s State) Clone() State {
 	s.Bans = maps.Clone(s.Bans)
 	if s.Bans == nil {
 		s.Bans = map[string]time.Duration{}
@@ -101,5 +102,5 @@
 	case !f.End:
 		return State{}, errors.New("cut: its end is missing")
 	}
-	return f.State.clone(), nil
+	return f.State.Clone(), nil
 }
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -90,7 +90,7 @@
 		s.lock.Close()
 		return nil, State{}, err
 	}
-	return s, s.last.clone(), nil
+	return s, s.last.Clone(), nil
 }
 
 // Number returns this process's own number.
@@ -146,7 +146,7 @@
 			})
 			return
 		case c := <-s.changes:
-			before := s.last.clone()
+			before := s.last.Clone()
 			err := s.update(func(st *State) error {
 				c.apply(st)
 				return nil
@@ -154,10 +154,10 @@
 			if err != nil {
 				s.log.Error("the shared file could not be changed", "error", err)
 			}
-			c.done(s.last.clone(), err)
+			c.done(s.last.Clone(), err)
 			s.news(before) // what others have changed since the last look came along
 		case <-look.C:
-			before := s.last.clone()
+			before := s.last.Clone()
 			s.look()
 			s.news(before)
 		}
@@ -166,8 +166,8 @@
 
 // news tells the state unless it is as it was.
 func (s *Store) news(before State) {
-	if !reflect.DeepEqual(before, s.last.clone()) {
-		s.tell(s.last.clone())
+	if !reflect.DeepEqual(before, s.last.Clone()) {
+		s.tell(s.last.Clone())
 	}
 }
 
@@ -211,10 +211,10 @@
 	st, err := s.read()
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
-		st = s.last.clone() // at the start, nothing; later, somebody removed it
+		st = s.last.Clone() // at the start, nothing; later, somebody removed it
 	case err != nil:
 		s.log.Warn("the shared file cannot be read and is replaced", "error", err)
-		st = s.last.clone()
+		st = s.last.Clone()
 	}
 	if err := apply(&st); err != nil {
 		return err
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -119,7 +119,7 @@
 func (c *caller) route(call http1.Call) {
 	node := c.desk.node
 	host, isHost := strings.CutPrefix(call.Path, "/v1/hosts/")
-	id, verb, _ := cutLast(host)
+	id, verb := cutLast(host)
 	switch {
 	case call.Path == "/v1/readyz":
 		if c.permit(call, "GET") {
@@ -139,12 +139,9 @@
 }
 
 // cutLast cuts a path before its last part.
-func cutLast(path string) (before, last string, found bool) {
+func cutLast(path string) (before, last string) {
 	i := strings.LastIndexByte(path, '/')
-	if i < 0 {
-		return "", "", false
-	}
-	return path[:i], path[i+1:], true
+	return path[:max(i, 0)], path[i+1:]
 }
 
 // permit says whether the call comes with the method that its path takes, and answers where it does not.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -181,22 +181,30 @@
 func (c *Core) Owed() int { return c.owed }
 
 // Standing returns how many connections stand.
-func (c *Core) Standing() int { return len(c.standing()) }
+func (c *Core) Standing() int {
+	n := 0
+	for _, q := range c.queries {
+		if q.state.Phase == life.Up {
+			n++
+		}
+	}
+	return n
+}
 
-func (c *Core) standing() (all []*Query) {
+// oldest returns the oldest connections that stand, so many of them.
+func (c *Core) oldest(n int) (all []*Query) {
 	for _, q := range c.queries {
 		if q.state.Phase == life.Up {
 			all = append(all, q)
 		}
 	}
-	return all
+	inOrder(all)
+	return all[:min(n, len(all))]
 }
 
 // Ease moves the clients of the oldest connections that stand, so many of them: the node is to be emptied.
 func (c *Core) Ease(n int) {
-	all := c.standing()
-	inOrder(all)
-	for _, q := range all[:min(n, len(all))] {
+	for _, q := range c.oldest(n) {
 		q.step(life.Event{Kind: life.Move}, &news{outcome: balance.Cancelled})
 	}
 }
@@ -204,9 +212,7 @@
 // Carry offers the oldest connections that stand, so many of them, to another process of the node. What take says yes
 // to is over here, and neither of its ends is touched any more.
 func (c *Core) Carry(n int, take func(Client, Attempt, balance.Arrival, balance.ServerID) bool) {
-	all := c.standing()
-	inOrder(all)
-	for _, q := range all[:min(n, len(all))] {
+	for _, q := range c.oldest(n) {
 		if take(q.client, q.attempt, q.arrival, q.server) {
 			q.step(life.Event{Kind: life.PassOn}, &news{outcome: balance.Cancelled})
 		}
