Drains, cold budgets and moves no longer have floors a node that hundreds add up to

The four new hosts, at 7.6 s, were sent 0 to 1 connections in the first 1.5 s and 1 to 5 later, where the rule bears 6 to 16; 70 to 100 clients a second were refused meanwhile.

Causes: balance.go empty rounded up to one connection a look and node. coldRoom gave each node a part of a window by chance, and what a node without an arrival had was lost. assess took a host that was never asked for as full as the mean of its peers, though the list tells when it started. relieve took every node for holding as much as this one, and found no room for the moves.

Ruled out: the time from a client's line to the host's next line as a sign of slow messages: it was below 1 ms at hosts whose reports told of 2 s. Refusals by throttle or for want of room: 15 of 400, the others came to hosts at the ceiling.

Now a part of a connection moves by chance; the cold budget adds up, for one window at most, and is made up for when overdrawn, so that with half of the rule's budget used two windows' worth at once still keep it; a young host counts as filling up to the mean over settle(); the excess at a host is what its report tells, where that is less than ours times the nodes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -327,11 +327,14 @@
 
 // assess estimates the ratio of load to capacity that a server has now: its last report, which counts for
 // less the older it is, plus what this balancer placed and lost since the report was taken. A server without
-// a report is not empty: it counts as the mean of its peers.
+// a report is not empty: it counts as the mean of its peers, up to which one that has just started fills.
 func (b *Balancer) assess(s *server) {
 	ratio := b.mean
+	if age := b.now - s.Started; s.Started > 0 && age < b.settle() {
+		ratio *= max(0, float64(age)/float64(b.settle()))
+	}
 	if s.reported {
-		ratio += (s.ratio - b.mean) * b.decay(b.now-s.takenAt)
+		ratio += (s.ratio - ratio) * b.decay(b.now-s.takenAt)
 	}
 	s.estimate = max(0, ratio+s.own/b.capacityOf(s))
 	if s.slowFrom > 0 && b.now-s.slowAt < 2*reportLife {
@@ -675,7 +678,7 @@
 		timeout = min(left, max(r.class.Aim, min(left/2, 2*r.class.Aim)))
 	}
 	r.attempts = append(r.attempts, attempt{server: s, sentAt: b.now, ahead: s.settingUp, pending: true})
-	s.sent++
+	s.budget--
 	s.settingUp++
 	b.opened(r)
 	b.note(s, r.weight)
@@ -848,7 +851,7 @@
 		excess = max(excess, (s.estimate-piledUp)/s.estimate)
 	}
 	want := excess * own
-	if b.room < 2*want*float64(b.set.Balancers) {
+	if b.room < 2*excess*min(own*float64(b.set.Balancers), s.estimate*b.capacityOf(s)) {
 		return
 	}
 	for _, i := range b.rng.Perm(len(s.conns)) {
@@ -863,10 +866,12 @@
 }
 
 // empty moves our connections off a draining server, evenly over the time that a server takes to warm up. It
-// guards against being cut off there when the server stops, and against all coming again at once.
+// guards against being cut off there when the server stops, and against all coming again at once; by chance
+// where each of many balancers holds but one.
 func (b *Balancer) empty(s *server) {
-	rounds := max(1, int((s.drainFrom+b.settle()-b.now)/(reportLife/2)))
-	for _, r := range s.conns[:(len(s.conns)+rounds-1)/rounds] {
+	rounds := max(1, float64(s.drainFrom+b.settle()-b.now)/float64(reportLife/2))
+	n := int(float64(len(s.conns))/rounds + b.rng.Float64())
+	for _, r := range s.conns[:min(n, len(s.conns))] {
 		b.act(Move{Request: r.Request})
 	}
 }
@@ -894,21 +899,21 @@
 // ---- Cold servers ----
 
 // coldRoom says whether a server that has just started may take one more connection from this balancer. It
-// guards against all balancers together pushing it over: each keeps to its own share of a cautious budget.
-// Where the share is below one connection a window, chance admits it, so that the sum over balancers holds.
+// guards against all balancers together pushing it over: each keeps to its own share of a cautious budget,
+// which adds up for one window at most. Where there is less than one connection in it, chance admits it, and
+// what was sent beyond it is made up for, so that the sum over balancers holds.
 func (b *Balancer) coldRoom(s *server) bool {
 	age := b.now - s.Started
 	if s.Started <= 0 || age >= b.set.Safety.ColdFor {
 		return true
 	}
-	if slot := int64(b.now / max(b.set.Safety.TipAfter, 1)); slot != s.slot {
-		share := b.coldShare(s, age)
-		s.slot, s.sent, s.allowed = slot, 0, int(share)
-		if b.rng.Float64() < share-math.Floor(share) {
-			s.allowed++
-		}
+	share := b.coldShare(s, age)
+	if s.fedAt == 0 {
+		s.budget = share
 	}
-	return s.sent < s.allowed
+	s.budget += share * float64(b.now-s.fedAt) / float64(max(b.set.Safety.TipAfter, 1))
+	s.budget, s.fedAt = min(s.budget, share), b.now
+	return b.rng.Float64() < s.budget
 }
 
 // coldShare is this balancer's share of what a cold server may be sent in one window, in connections: a
--- a/balance/state.go
+++ b/balance/state.go
@@ -87,9 +87,8 @@
 	eased     time.Duration // when connections were last moved off
 	settingUp int           // attempts of ours that are not up yet
 	pace      time.Duration // how long it takes to set one up; 0: unknown
-	slot      int64         // cold budget: the current window, what it allows, what was sent
-	allowed   int
-	sent      int
+	budget    float64       // connections that it may be sent while it is cold, by this balancer
+	fedAt     time.Duration // when that was last added to
 }
 
 // rate is a count that fades.
