An attempt is given the time that the latest connections took to stand

Most attempts are given 0.6 to 1 s.

Cause: place in balance.go cuts an attempt to twice its class's aim, so that the next has time; the next one waits in the same queue behind all hosts, and the work of the first is lost. Ruled out: bad hosts; the time-outs fall on all 25 hosts alike, as the placements do.

Now an attempt has at least twice what the latest connections took to stand, and where less than once that is left, the client is told at once. It fades over 3 s, so that it is tried again.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -659,7 +659,7 @@
 	if s != nil && s.estimate >= ceiling && b.roomLater(r) {
 		s = nil
 	}
-	if s != nil && (b.crowdedOut(r, s) || b.throttled()) {
+	if s != nil && (b.crowdedOut(r, s) || b.throttled() || left < b.standsWithin()) {
 		b.answer(r)
 		return
 	}
@@ -675,7 +675,7 @@
 	b.release(r)
 	timeout := left // cut so that another attempt has time, unless it would be the last
 	if len(r.attempts)+1 < r.set.MaxAttempts && r.class.Effect != Unsafe {
-		timeout = min(left, max(r.class.Aim, min(left/2, 2*r.class.Aim)))
+		timeout = min(left, max(r.class.Aim, min(left/2, 2*r.class.Aim), 2*b.standsWithin()))
 	}
 	r.attempts = append(r.attempts, attempt{server: s, sentAt: b.now, ahead: s.settingUp, pending: true})
 	s.budget--
@@ -708,6 +708,8 @@
 func (b *Balancer) onEstablished(e Established) {
 	if r, a := b.lookup(e.Request, e.Attempt); a != nil {
 		b.wasSetUp(a, true)
+		b.setUp, b.setUpAt = b.standsWithin(), b.now
+		b.setUp += (b.now - a.sentAt - b.setUp) / 4
 		a.established = true
 		b.stood.add(1, b.now, throttleFor)
 		a.server.enlist(r)
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -159,3 +159,38 @@
 		t.Errorf("%d of %d connections moved off an overloaded host", moving, 2*nodes)
 	}
 }
+
+// What is behind all hosts was jammed on herd days: connections stood after 1.25 s, attempts were given up before, for the
+// next one in the same queue, and 30 of 110 a second came to stand. An attempt has at least twice the time that the
+// latest ones took, less what fades between them; where less than once that time is left, the client is told at once. After
+// a while without any it is tried again.
+func TestAJamBehindAllHostsIsWaitedOut(t *testing.T) {
+	d := drive(t, settings(), 1)
+	d.fleet(0.3, 0.3, 0.3, 0.3, 0.3, 0.3)
+	within := func(id balance.RequestID, left time.Duration) time.Duration {
+		for _, a := range d.arrive(id, "safe", left) {
+			if p, ok := a.(balance.Place); ok {
+				return p.Timeout
+			}
+		}
+		return 0
+	}
+	if got := within(1, 4*sec); got != sec {
+		t.Fatalf("an attempt has %v, want twice the aim", got)
+	}
+	for id := balance.RequestID(2); id < 40; id++ { // four a second
+		within(id, 4*sec)
+		if d.now += 250 * ms; id > 6 {
+			d.do(balance.Established{Request: id - 4})
+		}
+	}
+	if got := within(50, 4*sec); got < 1500*ms {
+		t.Errorf("an attempt has %v where they stand after 1.25 s", got)
+	}
+	if got := within(51, sec); got != 0 {
+		t.Errorf("an attempt is made with 1 s left where they stand after 1.25 s")
+	}
+	if d.now += 9 * sec; within(52, sec) == 0 {
+		t.Error("nothing is tried after nine quiet seconds")
+	}
+}
