The time that connections take to stand is a fading count, as the others are

It was kept as a value and its moment, faded by a line of its own, beside the type rate that does the same. The standing test was not played again for it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -708,8 +708,7 @@
 func (b *Balancer) onEstablished(e Established) {
 	if r, a := b.lookup(e.Request, e.Attempt); a != nil {
 		b.wasSetUp(a, true)
-		b.setUp, b.setUpAt = b.standsWithin(), b.now
-		b.setUp += (b.now - a.sentAt - b.setUp) / 4
+		b.setUp.add(float64(b.now-a.sentAt-b.standsWithin())/4, b.now, throttleFor)
 		a.established = true
 		b.stood.add(1, b.now, throttleFor)
 		a.server.enlist(r)
--- a/balance/state.go
+++ b/balance/state.go
@@ -45,12 +45,11 @@
 	meanWeight  float64 // mean listed weight
 	meanLoad    float64 // mean expected load of arrivals
 	loadsSeen   float64
-	recent      rate          // all arrivals, over the life of a report
-	open        float64       // connections of our own
-	failed      rate          // attempts that ended with an error or no answer
-	stood       rate          // attempts whose connection stood
-	setUp       time.Duration // how long the latest connections took to stand
-	setUpAt     time.Duration
+	recent      rate    // all arrivals, over the life of a report
+	open        float64 // connections of our own
+	failed      rate    // attempts that ended with an error or no answer
+	stood       rate    // attempts whose connection stood
+	setUp       rate    // how long the latest connections took to stand, in nanoseconds
 	probeTokens float64
 	subscribed  bool
 	askFails    int
@@ -341,7 +340,7 @@
 
 // standsWithin is how long an attempt takes to stand, as the latest that stand tell. It fades, so that it is tried again.
 func (b *Balancer) standsWithin() time.Duration {
-	return time.Duration(float64(b.setUp) * math.Exp(-float64(b.now-b.setUpAt)/float64(throttleFor)))
+	return time.Duration(b.setUp.over(b.now, throttleFor))
 }
 
 // queueTime is how long an arrival that is held now would wait for its turn.
