An end answers what crosses it: no close over unread input, last words are taken

Cause: a close over unread input makes the kernel send a reset, which destroys what the peer has not read. Seen by tests that hold the loop and place bytes in the kernel's buffers: - a connection to a host that stood was closed over half a line of the host's, when its client left or was moved (serverlink.attempt.End): the host saw a reset; - gnet gives a connection up when a write to it fails and reads nothing more: the last word of a host that closed while a line of its client was under way was lost, and the client got a reset instead of BYE (evloop.Link.ended, attempt.Closed); - an idle client was ended for want of room over a request that the kernel held already, without a word (evloop.Loop.shed); - a node that leaves ended while half of a request had come, and cut clients off that had sent nothing yet or had not taken their answer (main.step went from SendAway to the end of the loop).

Ruled out: TCP_NODELAY (net sets it on each connection that is accepted or made of a file); a half-close by a client (gnet reads what came before and then tells the end).

Change: Finish instead of Close for connections that stood; what came before a failed write is delivered first; a spare connection is read once more before it is ended, and told BUSY; a node that leaves counts clients without a request as owed, refuses them when it sends all away, and ends once the last words were taken, at the latest 40 ms before it may be killed.

--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -293,10 +293,14 @@
 	if !n.pacing {
 		return
 	}
+	if n.service.Done(n.loop.Now(), n.loop.Finishing()) {
+		close(n.empty)
+		return
+	}
 	n.pass()
 	var order life.Order
 	var count int
-	n.service, order, count = n.service.Step(n.loop.Now(), n.core.Owed(), n.core.Standing())
+	n.service, order, count = n.service.Step(n.loop.Now(), n.owed(), n.core.Standing())
 	switch order {
 	case life.Ease:
 		n.core.Ease(count)
@@ -312,12 +316,21 @@
 		}
 	case life.SendAway:
 		n.core.Leave(n.service.PassThrough)
-		close(n.empty)
-		return
+		n.door.TurnAway()
 	}
 	n.loop.After(leaveLook, n.step)
 }
 
+// owed returns how many answers are owed or may be at any moment: to requests, to clients that have not sent theirs yet,
+// and to what is queued at a door that is just being closed.
+func (n *node) owed() int {
+	owed := n.core.Owed() + n.door.Resting()
+	if n.retired != nil && !n.retired.Done() {
+		owed++
+	}
+	return owed
+}
+
 func longestDeadline(set balance.Settings) (longest time.Duration) {
 	for _, c := range set.Classes {
 		longest = max(longest, c.Deadline)
--- a/internal/clientlink/clientlink.go
+++ b/internal/clientlink/clientlink.go
@@ -3,6 +3,7 @@
 package clientlink
 
 import (
+	"container/list"
 	"errors"
 	"log/slog"
 	"time"
@@ -46,6 +47,7 @@
 	turned   map[error]int   // connections turned away since the log last told of them, by the reason
 	telling  bool
 	serving  func() bool // whether the node wants clients
+	resting  list.List   // of clients that have sent no request yet, in the order in which they came
 }
 
 // New returns a door. Above maxLinks connections, queries are throttled. serving tells what PING asks; whoever asks for
@@ -78,11 +80,23 @@
 // Accept gives a connection its handler. Until it has a query, it is the first to go when there are too many.
 func (d *Door) Accept(link *evloop.Link) evloop.Handler {
 	c := &Client{door: d, link: link}
+	c.rests = d.resting.PushBack(c)
 	c.late = d.loop.After(firstWithin, func() { c.Reject(errLate) })
+	link.LastWord(line.AppendBusy(nil, d.retry))
 	link.Spare(true)
 	return c
 }
 
+// Resting returns how many clients have sent no request yet. Each may do so at any moment, and is owed an answer then.
+func (d *Door) Resting() int { return d.resting.Len() }
+
+// TurnAway refuses all clients that have sent no request yet: what they send from now on is answered already.
+func (d *Door) TurnAway() {
+	for d.resting.Len() > 0 {
+		d.resting.Front().Value.(*Client).Throttle(d.retry)
+	}
+}
+
 // Adopt makes a client link of a connection that stood at another process of the node, under its id. Resume must follow.
 func (d *Door) Adopt(link *evloop.Link, id string) *Client {
 	d.ids[id] = true
@@ -150,7 +164,8 @@
 	link  *evloop.Link
 	late  *evloop.Timer // of the first line
 	open  line.Open
-	query *query.Query // once a first line has come
+	rests *list.Element // among the door's resting clients, until a request has come
+	query *query.Query  // once a first line has come
 	up    bool
 	over  bool
 }
@@ -215,6 +230,7 @@
 		open.Wait = c.door.classes[open.Class].Deadline
 	}
 	c.late.Stop()
+	c.endRest()
 	c.link.Spare(false)
 	c.open = open
 	c.door.ids[open.ID] = true
@@ -257,11 +273,20 @@
 	}
 	c.over = true
 	c.late.Stop()
+	c.endRest()
 	if c.open.ID != "" {
 		delete(c.door.ids, c.open.ID)
 	}
 }
 
+// endRest takes the client off those that have sent no request.
+func (c *Client) endRest() {
+	if c.rests != nil {
+		c.door.resting.Remove(c.rests)
+		c.rests = nil
+	}
+}
+
 // Closed implements evloop.Handler.
 func (c *Client) Closed(err error) {
 	c.leave()
--- a/internal/evloop/link.go
+++ b/internal/evloop/link.go
@@ -2,10 +2,6 @@
 
 import (
 	"container/list"
-	"errors"
-	"io"
-	"syscall"
-	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
@@ -15,18 +11,8 @@
 	readSize = 1 << 16
 	// keepCap is the largest buffer that a connection keeps while it holds nothing.
 	keepCap = 4 << 10
-	// finishWithin and finishDrop bound what a peer may still send after a connection is finished: it may have
-	// 60 MB under way, and a reset before it has read its answer would destroy that.
-	finishWithin = 3 * time.Second
-	finishDrop   = 64 << 20
-	// flushEvery is how often a finished connection is looked at whose last words its peer has not taken yet.
-	flushEvery = 20 * time.Millisecond
-)
-
-// The ends of a connection that are no peer's doing.
-var (
-	ErrNotReading = errors.New("the peer does not read")
-	ErrNoRoom     = errors.New("there are too many connections")
+	// pullMost bounds what is read at once of a connection that is about to end.
+	pullMost = 1 << 20
 )
 
 // Handler is what a connection calls back.
@@ -56,6 +42,9 @@
 	dropped int           // bytes that came after it was finished
 	paused  bool          // an adopted connection whose handler is not ready; what comes is kept
 	late    error         // its end, if that came meanwhile
+	// lastWord is said if the connection is ended for want of room.
+	lastWord []byte
+	resting  bool // the connection is over, and its handler looks at what came before
 }
 
 func (k *Link) opened(c gnet.Conn) gnet.Action {
@@ -127,7 +116,7 @@
 
 // Peek returns what was received and not yet used up. It is valid until the callback ends.
 func (k *Link) Peek() []byte {
-	if k.closed {
+	if k.closed && !k.resting {
 		return nil
 	}
 	return k.in[k.from:]
@@ -135,7 +124,7 @@
 
 // Discard uses up n bytes.
 func (k *Link) Discard(n int) {
-	if !k.closed {
+	if !k.closed || k.resting {
 		k.from += n
 	}
 }
@@ -154,46 +143,6 @@
 	}
 }
 
-// Spare says whether the connection may be ended when there are too many; the oldest such goes first.
-func (k *Link) Spare(may bool) {
-	switch {
-	case may && k.spare == nil && !k.closed:
-		k.spare = k.loop.spare.PushBack(k)
-	case !may && k.spare != nil:
-		k.loop.spare.Remove(k.spare)
-		k.spare = nil
-	}
-}
-
-// Finish ends sending once what was written has gone out, drops what still comes, and closes when the peer does or
-// after a while. Closing at once with unread input would send a reset, which can destroy the last words before the
-// peer has read them. The handler is not called back any more.
-func (k *Link) Finish() {
-	if k == nil || k.closed || k.ending != nil {
-		return
-	}
-	if k.conn == nil {
-		k.Close()
-		return
-	}
-	k.muted, k.in, k.from = true, nil, 0
-	k.Spare(true)
-	until := k.loop.Now() + finishWithin
-	var flushed func()
-	flushed = func() {
-		switch left := until - k.loop.Now(); {
-		case left <= 0:
-			k.shut()
-		case k.conn.OutboundBuffered() > 0:
-			k.ending = k.loop.After(min(left, flushEvery), flushed)
-		default:
-			_ = unix.Shutdown(k.conn.Fd(), unix.SHUT_WR)
-			k.ending = k.loop.After(left, k.shut)
-		}
-	}
-	flushed()
-}
-
 // Detach takes the connection out of the loop without ending it: it returns a descriptor of it, which is the caller's
 // then, and what was received and not used up. The handler is not called back any more. It says no where the connection
 // is being made or ended, or its peer has not taken all that was written.
@@ -214,81 +163,3 @@
 func (k *Link) Idle() bool {
 	return !k.closed && k.ending == nil && k.conn != nil && k.conn.OutboundBuffered() == 0
 }
-
-// Close ends the connection. What was written goes out first: gnet's close writes once more what is queued.
-func (k *Link) Close() {
-	if k != nil {
-		k.muted = true
-		k.shut()
-	}
-}
-
-func (k *Link) shut() {
-	if k.closed {
-		return
-	}
-	k.gone()
-	k.in = nil
-	if k.dial != nil {
-		k.dial.cancel()
-	}
-	if k.conn != nil {
-		_ = k.loop.el.Close(k.conn)
-	}
-}
-
-// Abort ends the connection with a reset, as a peer ends it whose process died.
-func (k *Link) Abort() {
-	if k != nil && !k.closed && k.conn != nil && k.conn.OutboundBuffered() == 0 {
-		_ = k.conn.SetLinger(0)
-	}
-	k.Close()
-}
-
-// gone takes the connection off the books.
-func (k *Link) gone() {
-	k.closed = true
-	k.loop.links--
-	k.Spare(false)
-	k.ending.Stop()
-}
-
-// lose ends the connection and tells its handler.
-func (k *Link) lose(err error) {
-	if k.closed {
-		return
-	}
-	k.shut()
-	k.loop.Defer(func() { k.tell(err) })
-}
-
-// tell calls the handler back for the last time, unless it closed the connection itself in the meantime.
-func (k *Link) tell(err error) {
-	if !k.muted {
-		k.handler.Closed(err)
-	}
-}
-
-// ended is told by gnet, also of the closes that we asked for ourselves.
-func (k *Link) ended(err error) {
-	if k.closed {
-		return
-	}
-	if err == nil {
-		err = io.EOF
-	}
-	if k.paused {
-		k.late, k.conn = err, nil
-		return
-	}
-	k.gone()
-	k.loop.Defer(func() {
-		k.in = nil
-		k.tell(err)
-	})
-}
-
-// Clean says whether a peer ended its connection in good order.
-func Clean(err error) bool {
-	return errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET)
-}
--- a/internal/evloop/listen.go
+++ b/internal/evloop/listen.go
@@ -177,6 +177,16 @@
 // Wait waits until nothing is accepted any more, after Close or Retire. The loop must be running.
 func (n *Listener) Wait() { <-n.done }
 
+// Done says whether nothing is accepted any more.
+func (n *Listener) Done() bool {
+	select {
+	case <-n.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Retire stops accepting in a moment, once what is queued has been accepted.
 func (n *Listener) Retire() { _ = n.ln.SetDeadline(time.Now().Add(retireAfter)) }
 
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -33,11 +33,14 @@
 	dialer   *dialer
 	stop     sync.Once
 
-	limits  Limits
-	links   int       // open connections and dials under way
-	spare   list.List // of links that may be ended for want of room, the oldest first
-	depth   int
-	pending []func() // run when the callback under way is done
+	limits Limits
+	links  int       // open connections and dials under way
+	spare  list.List // of links that may be ended for want of room, the oldest first
+	// finishing counts the accepted connections whose last words were said and whose peers have not closed yet.
+	finishing int
+	scratch   [readSize]byte // of Link.pull
+	depth     int
+	pending   []func() // run when the callback under way is done
 }
 
 // Limits bound what the loop holds.
@@ -185,15 +188,29 @@
 	}
 }
 
-// shed ends the oldest spare connection.
+// shed ends the oldest spare connection. One whose peer has sent something meanwhile is no longer idle: its handler looks
+// at that first, since a close over unread input would reset the connection and leave a request without an answer.
 func (l *Loop) shed() bool {
-	oldest := l.spare.Front()
-	if oldest != nil {
-		oldest.Value.(*Link).lose(ErrNoRoom)
+	for range l.spare.Len() {
+		k := l.spare.Front().Value.(*Link)
+		if k.ending != nil || k.pull() == 0 {
+			k.dismiss()
+			return true
+		}
+		l.spare.MoveToBack(k.spare)
+		l.Defer(func() {
+			if !k.closed {
+				k.receive()
+			}
+		})
 	}
-	return oldest != nil
+	return false
 }
 
+// Finishing returns how many accepted connections have been told their last words by Finish and are not closed by their
+// peers yet. A process that ends now would reset those that still send.
+func (l *Loop) Finishing() int { return l.finishing }
+
 // Defer runs f when the callback under way is done.
 func (l *Loop) Defer(f func()) { l.pending = append(l.pending, f) }
 
--- a/internal/life/departure.go
+++ b/internal/life/departure.go
@@ -10,6 +10,8 @@
 	longestCounted = 3 * time.Second
 	// beyondDeadline is how much longer than that deadline a node may stay. It is killed 0.1 s later at the earliest.
 	beyondDeadline = 600 * time.Millisecond
+	// lastWordsWithin is how much longer the last words may take to be read: most of what is left until the kill.
+	lastWordsWithin = 60 * time.Millisecond
 )
 
 // Order is what a leaving node does next.
@@ -63,3 +65,9 @@
 	}
 	return d, Stay
 }
+
+// Done says whether the process may end a time after SIGTERM, when so many clients have not taken their last words yet:
+// what ends earlier resets those that still send, and destroys the answer.
+func (d Departure) Done(after time.Duration, finishing int) bool {
+	return d.Gone && (finishing == 0 || after >= d.Within+lastWordsWithin)
+}
--- a/internal/life/service.go
+++ b/internal/life/service.go
@@ -78,6 +78,11 @@
 // succeeded answers for the other one, should it still be asked.
 func (s Service) Serving() bool { return !s.Drained && (!s.Leaving || s.Succeeded) }
 
+// Done says whether a process that leaves may end now; see Departure.Done.
+func (s Service) Done(now time.Duration, finishing int) bool {
+	return s.Leaving && s.Departure.Done(now-s.Left, finishing)
+}
+
 // Quiet says whether nothing is to be done until the next wish or news: Step need not be called.
 func (s Service) Quiet() bool { return !s.Drained && !s.Leaving && !s.Succeeded && !s.Shut }
 
--- a/internal/life/service_test.go
+++ b/internal/life/service_test.go
@@ -118,3 +118,25 @@
 		})
 	}
 }
+
+// A process that leaves ends once its clients have taken their last words, at the latest before it is killed.
+func TestAProcessEndsOnceItsLastWordsWereTaken(t *testing.T) {
+	const longest = 2 * time.Second
+	killed := longest + 700*time.Millisecond // the earliest moment, by PROTOCOL's figures
+	for name, c := range map[string]struct {
+		gone      bool
+		after     time.Duration
+		finishing int
+		want      bool
+	}{
+		"not before it has sent all away":    {after: AcceptOn},
+		"all have taken their last words":    {gone: true, after: AcceptOn, want: true},
+		"one has not":                        {gone: true, after: AcceptOn, finishing: 1},
+		"one has not, to the last moment":    {gone: true, after: StayWithin(longest), finishing: 1},
+		"one never does, and the kill nears": {gone: true, after: killed - 40*time.Millisecond, finishing: 1, want: true},
+	} {
+		s := Service{Within: StayWithin(longest)}.Ask(Depart, time.Hour)
+		s.Departure.Gone = c.gone
+		assert.Equal(t, c.want, s.Done(time.Hour+c.after, c.finishing), name)
+	}
+}
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -236,18 +236,23 @@
 	if errors.Is(err, evloop.ErrNoRoom) {
 		o = balance.Unsent // no fault of the host's
 	}
-	a.try.Ended(o, evloop.Clean(err), a.said, nil)
+	// A host that has said its last word has ended in good order, whatever broke on the way.
+	a.try.Ended(o, evloop.Clean(err) || a.last != none, a.said, nil)
 }
 
 // Pass implements query.Attempt.
 func (a *attempt) Pass(lines []byte) { a.link.Write(lines) }
 
-// End implements query.Attempt.
+// End implements query.Attempt. What the client sent last has to reach the host that holds its connection, so that this is
+// not closed over what the host still says: that would reset it.
 func (a *attempt) End(clean bool) {
-	if clean {
-		a.link.Close()
-	} else {
+	switch {
+	case !clean:
 		a.link.Abort()
+	case a.up:
+		a.link.Finish()
+	default:
+		a.link.Close()
 	}
 }
 
