A repeat is not sent after its window, and what was never sent has not run

Cause: the window in which servers drop the repeat of a keyed request was checked when the repeat was placed (balance.permitted); its line went out when its connection stood, up to permissions.connect_timeout_us later. And an attempt whose time was over before its connection came up counted as one that may have run (query.wake), so that a class that must not run twice was failed though nothing had been sent.

Ruled out: counting the window from the first attempt's arrival (balance counts from its placement, which is earlier).

Change: Place tells until when it may be sent (SendBy); Try.Open asks again just before the line is written, 50 ms before that time as for drains. Attempts tell whether anything was sent.

--- a/balance/api.go
+++ b/balance/api.go
@@ -279,6 +279,7 @@
 		Request RequestID
 		Server  ServerID
 		Timeout time.Duration
+		SendBy  time.Duration // the clock time from which it may not be sent any more; 0: none
 	}
 	// Refuse is a final answer: trying again is harmless.
 	Refuse struct {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -590,7 +590,7 @@
 	if r.mayRun < 0 || r.class.Effect == Safe {
 		return true
 	}
-	if r.class.Effect == Unsafe || b.now >= r.attempts[r.mayRun].sentAt+r.class.Window {
+	if r.class.Effect == Unsafe || b.now >= r.repeatUntil() {
 		return false
 	}
 	first := r.attempts[r.mayRun].server
@@ -668,7 +668,7 @@
 	s.settingUp++
 	b.opened(r)
 	b.note(s, r.weight)
-	b.act(Place{Request: r.Request, Server: s.Server, Timeout: timeout})
+	b.act(Place{Request: r.Request, Server: s.Server, Timeout: timeout, SendBy: r.repeatUntil()})
 }
 
 // answer ends a request unserved: a refusal where that is harmless, else a failure.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1034,3 +1034,25 @@
 		t.Fatalf("placed on %q, though a has started again and is the emptier one", at)
 	}
 }
+
+// A repeat tells until when it may be sent: its connection may come up long after it was placed.
+func TestARepeatTellsUntilWhenItMayBeSent(t *testing.T) {
+	for class, want := range map[string]time.Duration{"safe": 0, "keyed-all": 6 * sec} {
+		d := drive(t, settings(), 1)
+		d.fleet(0.3, 0.4)
+		first := d.arrive(1, class, 2*sec)[0].(balance.Place)
+		if first.SendBy != 0 {
+			t.Errorf("%s: a first attempt is to be sent by %v", class, first.SendBy)
+		}
+		d.now += 100 * ms
+		again := d.end(1, 0, balance.Reset, false)
+		if placed(again) == "" {
+			t.Fatalf("%s: no repeat", class)
+		}
+		for _, a := range again {
+			if p, ok := a.(balance.Place); ok && p.SendBy != want {
+				t.Errorf("%s: to be sent by %v, want %v", class, p.SendBy, want)
+			}
+		}
+	}
+}
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -22,5 +22,5 @@
 	for _, action := range b.Handle(time.Second, arrival) {
 		fmt.Printf("%T %+v\n", action, action)
 	}
-	// Output: balance.Place {Request:1 Server:b Timeout:1s}
+	// Output: balance.Place {Request:1 Server:b Timeout:1s SendBy:0s}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -204,6 +204,15 @@
 	}
 }
 
+// repeatUntil returns until when a request may be sent once more, or 0 where no time tells: what may have run of a keyed class
+// is dropped by the servers within a window that counts from the first such attempt.
+func (r *request) repeatUntil() time.Duration {
+	if r.mayRun < 0 || r.class.Effect != Keyed {
+		return 0
+	}
+	return r.attempts[r.mayRun].sentAt + r.class.Window
+}
+
 // release takes a request off the waiting list.
 func (b *Balancer) release(r *request) {
 	if !r.held {
--- a/internal/query/bench_test.go
+++ b/internal/query/bench_test.go
@@ -20,6 +20,7 @@
 func (w *still) Stop()                          {}
 func (w *still) Pass([]byte)                    {}
 func (w *still) Over() bool                     { return false }
+func (w *still) Sent() bool                     { return true }
 func (w *still) End(bool)                       {}
 func (w *still) Attempt(t Try, _ balance.ServerID, _ time.Duration) Attempt {
 	w.try = t
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -45,6 +45,8 @@
 	End(clean bool)
 	// Over says whether the server has said its last word, which went on to the client.
 	Over() bool
+	// Sent says whether the server may have received any of the request. What was never sent has not run.
+	Sent() bool
 }
 
 // Servers makes attempts and probes.
@@ -110,6 +112,8 @@
 	sweepEvery    = 100 * time.Millisecond
 	// graceMargin is how long before the end of a drain's grace nothing more is written: the writing takes a moment.
 	graceMargin = 50 * time.Millisecond
+	// sendMargin is how long before its last moment a repeat is not written any more: its bytes take a moment to arrive.
+	sendMargin = 50 * time.Millisecond
 	// comeBack is when a client may come again that no decision was made for: the balancer held it too long, or the
 	// node stops. It is shorter where clients heed only shorter advice.
 	comeBack = time.Second
@@ -370,7 +374,7 @@
 	case balance.Place:
 		c.keep()
 		if q := c.find(a.Request, a); q != nil {
-			q.step(life.Event{Kind: life.Place}, &news{server: a.Server, within: a.Timeout})
+			q.step(life.Event{Kind: life.Place}, &news{server: a.Server, within: a.Timeout, sendBy: a.SendBy})
 		}
 	case balance.Refuse:
 		if q := c.find(a.Request, a); q != nil {
@@ -415,6 +419,7 @@
 	server  balance.ServerID
 	attempt Attempt
 	sentAt  time.Duration
+	sendBy  time.Duration // when the attempt that is out may not be sent any more; 0: at any time
 	watch   life.Watch
 	guard   Timer // of the deadline
 	timer   Timer // of the attempt's time-out, or of the pause before the next
@@ -429,6 +434,7 @@
 	reason  error            // what is wrong with the client
 	server  balance.ServerID // where the balancer wants an attempt, and for how long at most
 	within  time.Duration
+	sendBy  time.Duration // when it may not be sent any more; 0: at any time
 	after   time.Duration // the balancer's advice when to come again
 }
 
@@ -559,7 +565,7 @@
 	if q.at == "" {
 		server, within = d.server, min(d.within, within)
 	}
-	q.server, q.sentAt = server, q.core.clock.Now()
+	q.server, q.sentAt, q.sendBy = server, q.core.clock.Now(), d.sendBy
 	q.timer = q.core.clock.After(within, Due{Kind: DueAttempt, Request: q.arrival.Request})
 	q.attempt = q.core.servers.Attempt(Try{q, q.state.Attempts}, server, within)
 }
@@ -570,12 +576,20 @@
 	case DueGuard:
 		q.step(life.Event{Kind: life.Deadline}, &news{outcome: balance.TimedOut, after: q.core.comeBack})
 	case DueAttempt:
-		q.step(life.Event{Kind: life.AttemptLate, Attempt: q.state.Attempts}, &news{outcome: balance.TimedOut})
+		q.step(life.Event{Kind: life.AttemptLate, Attempt: q.state.Attempts}, &news{outcome: q.lateOutcome()})
 	case DueRetry:
 		q.step(life.Event{Kind: life.Retry}, &news{})
 	}
 }
 
+// lateOutcome is how an attempt ended whose time is over. One whose connection never came up proves that nothing ran.
+func (q *Query) lateOutcome() balance.Outcome {
+	if q.attempt.Sent() {
+		return balance.TimedOut
+	}
+	return balance.Unreachable
+}
+
 // Try is one attempt of a query, as its server link knows it. What is told of a try that is over has no effect.
 type Try struct {
 	query  *Query
@@ -595,13 +609,18 @@
 // Open asks, just before the first line is written, whether the host may still be sent anything. Where not, the try is
 // over when Open returns.
 func (t Try) Open() bool {
-	if c := t.query.core; c.drained(t.query.server) || c.withheld(t.query.server) {
+	if c := t.query.core; c.drained(t.query.server) || c.withheld(t.query.server) || t.query.expired() {
 		t.step(life.HostDrained, &news{outcome: balance.Unsent})
 		return false
 	}
 	return true
 }
 
+// expired says whether a repeat would come after the time within which it is dropped.
+func (q *Query) expired() bool {
+	return q.sendBy > 0 && q.core.clock.Now() >= q.sendBy-sendMargin
+}
+
 // Up says that the connection stands, with the host's own word for the client.
 func (t Try) Up(word []byte) { t.step(life.HostUp, &news{word: word}) }
 
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -22,6 +22,7 @@
 	last    Try
 	most    int
 	answers []string
+	unsent  bool // no connection to a server comes up
 }
 
 type timer struct {
@@ -68,6 +69,7 @@
 
 func (a attempt) Pass([]byte) {}
 func (a attempt) Over() bool  { return false }
+func (a attempt) Sent() bool  { return !a.w.unsent }
 func (a attempt) End(bool) {
 	a.w.out = slices.DeleteFunc(a.w.out, func(t Try) bool { return t == a.t })
 }
@@ -239,6 +241,7 @@
 }
 
 func (e *endings) Over() bool { return false }
+func (e *endings) Sent() bool { return true }
 func (e *endings) Attempt(t Try, _ balance.ServerID, _ time.Duration) Attempt {
 	e.last = t
 	return e
--- a/internal/serverlink/serverlink.go
+++ b/internal/serverlink/serverlink.go
@@ -256,6 +256,9 @@
 	}
 }
 
+// Sent implements query.Attempt.
+func (a *attempt) Sent() bool { return a.sent }
+
 // Over implements query.Attempt.
 func (a *attempt) Over() bool { return a.up && a.last != none }
 
--- a/rehearsal/script/world.go
+++ b/rehearsal/script/world.go
@@ -373,6 +373,9 @@
 	l.w.Rules.Closed(l.id)
 }
 
+// Sent implements query.Attempt.
+func (l *link) Sent() bool { return l.sent }
+
 // Over implements query.Attempt. These hosts say no last word before they close.
 func (l *link) Over() bool { return false }
 
