Models: an attempt whose connection never came up has not run, and a planted bug for it

Cause: the model of lives took every attempt whose time is over for one that may have run; the running code asks whether anything was sent since the last change, so that steps of the core were none of the model's (TestEveryPlantBreaksTheRunningCodeToo failed).

Change: the model asks the same. The plant late-taken-for-unsent has the balancer take a sent attempt for an unsent one.

--- a/rehearsal/coremodel/plants.go
+++ b/rehearsal/coremodel/plants.go
@@ -118,6 +118,14 @@
 			}
 			return []balance.Event{ev}
 		})},
+	{Plant{"late-taken-for-unsent", "the balancer takes an attempt that was sent, and whose time is over, for one that was not"},
+		hearing(func(ev balance.Event) []balance.Event {
+			if e, ok := ev.(balance.Ended); ok && e.Outcome == balance.TimedOut {
+				e.Outcome = balance.Unreachable
+				ev = e
+			}
+			return []balance.Event{ev}
+		})},
 	{Plant{"departure-unheard", "the balancer does not hear that a client has gone"},
 		hearing(func(ev balance.Event) []balance.Event {
 			if _, ok := ev.(balance.Departed); ok {
--- a/rehearsal/lifemodel/steps.go
+++ b/rehearsal/lifemodel/steps.go
@@ -413,7 +413,8 @@
 		case q.Life.Phase == life.Trying:
 			r := run{m: m, s: *s, c: c}
 			t := &r.s.Clients[c]
-			t.MayRun, t.Ran, t.Timer = true, t.Ran || t.Link == Sent, false
+			sent := t.Link == Sent // an attempt whose connection never came up has not run
+			t.MayRun, t.Ran, t.Timer = t.MayRun || sent, t.Ran || sent, false
 			r.event(life.AttemptLate)
 			yield(Code(Overdue, c, 0, 0), r.s)
 		case q.Life.Inherited:
