--- /dev/null
+++ b/tools/testgate/verdict/known.go
@@ -0,0 +1,73 @@
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+const (
+	// KnownFile is the name of the list, at the root of the module.
+	KnownFile = "KNOWN-RED.txt"
+	// MaxKnown is how many tests may be listed.
+	MaxKnown = 3
+	// knownForm is what a line of the list has to look like.
+	knownForm = "import/path TestName | cause | #issue"
+)
+
+// knownLine matches a line of the list. Fields are separated by " | "; none of them contains a bar.
+var knownLine = regexp.MustCompile(`^([^\s|./][^\s|]*) (Test[^\s|/]*) \| ([^\s|](?:[^|]*[^\s|])?) \| (#[1-9][0-9]*)$`)
+
+// Known is a test that is listed as failing for a known cause.
+type Known struct {
+	Package string // the import path, as go test prints it
+	Test    string // a top-level test; its subtests are listed with it
+	Cause   string
+	Issue   string // a number, such as #29
+}
+
+// String returns the line of the list.
+func (k Known) String() string {
+	return fmt.Sprintf("%s %s | %s | %s", k.Package, k.Test, k.Cause, k.Issue)
+}
+
+// ParseKnown reads the list. Each of its lines names a test; there are no comments and no blank lines. An empty text is an empty list.
+// The error tells every faulty line.
+func ParseKnown(text string) ([]Known, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var list []Known
+	var faults []error
+	for i, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
+		k, err := parseLine(line, list)
+		if err == nil && i >= MaxKnown {
+			err = fmt.Errorf("%d tests may be listed at most; mend one of them first", MaxKnown)
+		}
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s:%d: %w", KnownFile, i+1, err))
+			continue
+		}
+		list = append(list, k)
+	}
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	return list, nil
+}
+
+// parseLine reads one line; before are the tests that were listed already.
+func parseLine(line string, before []Known) (Known, error) {
+	m := knownLine.FindStringSubmatch(line)
+	if m == nil {
+		return Known{}, fmt.Errorf("want %q, no comments, no blank lines, no subtests; got %q", knownForm, line)
+	}
+	k := Known{Package: m[1], Test: m[2], Cause: m[3], Issue: m[4]}
+	for _, b := range before {
+		if b.Package == k.Package && b.Test == k.Test {
+			return Known{}, fmt.Errorf("%s %s is listed twice", k.Package, k.Test)
+		}
+	}
+	return k, nil
+}
