Rename internal/hostgroup to internal/discovery, Group to Client

The package calls discovery and keeps its list; what it holds is a client. The node's field and the scripted one of the tests are renamed with it, since they would hide the package.

--- a/cmd/lichenhitch/affairs.go
+++ b/cmd/lichenhitch/affairs.go
@@ -125,7 +125,7 @@
 	taken := func() {}
 	if n.reports%lookEvery == 0 {
 		r.Look = n.core.Look(n.tuning.set.Safety.ColdFor, n.weight(),
-			n.cfg.Settings.ListOnRequest && n.group.Stale()) // else the list is what the node was given
+			n.cfg.Settings.ListOnRequest && n.discovery.Stale()) // else the list is what the node was given
 	}
 	if n.reports%lookEvery == 0 || len(n.tuning.told) > 0 || n.core.Fired() {
 		taken = n.evidence(&r)
--- a/cmd/lichenhitch/affairs_test.go
+++ b/cmd/lichenhitch/affairs_test.go
@@ -227,7 +227,7 @@
 	becomes := func(want bool) {
 		t.Helper()
 		require.Eventually(t, func() (is bool) {
-			n.loop.Call(func() { is = n.group.Stale() == want })
+			n.loop.Call(func() { is = n.discovery.Stale() == want })
 			return is
 		}, patience, time.Millisecond)
 	}
@@ -238,6 +238,6 @@
 	becomes(true)
 	d.answers <- ok(list(3, true))
 	becomes(false)
-	n.loop.Call(func() { n.group.Relocate(newDiscovery(t).Addr().String()) })
+	n.loop.Call(func() { n.discovery.Relocate(newDiscovery(t).Addr().String()) })
 	becomes(true)
 }
--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -20,9 +20,9 @@
 	"lichenhitch/internal/clientlink"
 	"lichenhitch/internal/config"
 	"lichenhitch/internal/control"
+	"lichenhitch/internal/discovery"
 	"lichenhitch/internal/evloop"
 	"lichenhitch/internal/handover"
-	"lichenhitch/internal/hostgroup"
 	"lichenhitch/internal/life"
 	"lichenhitch/internal/management"
 	"lichenhitch/internal/query"
@@ -88,19 +88,19 @@
 
 // node is the program, wired.
 type node struct {
-	log     *slog.Logger
-	cfg     config.Config
-	sockets int // descriptors that all processes of the node together may hold
-	loop    *evloop.Loop
-	core    *query.Core
-	group   *hostgroup.Group
-	door    *clientlink.Door
-	hosts   *serverlink.Hosts
-	desk    *evloop.Listener              // of the management address; nil where there is none
-	store   *handover.Store               // nil where nothing can be shared with another process
-	number  int                           // of this process, as the store counts
-	begun   time.Duration                 // the start
-	read    atomic.Pointer[config.Config] // the settings as read, for any thread
+	log       *slog.Logger
+	cfg       config.Config
+	sockets   int // descriptors that all processes of the node together may hold
+	loop      *evloop.Loop
+	core      *query.Core
+	discovery *discovery.Client
+	door      *clientlink.Door
+	hosts     *serverlink.Hosts
+	desk      *evloop.Listener              // of the management address; nil where there is none
+	store     *handover.Store               // nil where nothing can be shared with another process
+	number    int                           // of this process, as the store counts
+	begun     time.Duration                 // the start
+	read      atomic.Pointer[config.Config] // the settings as read, for any thread
 
 	// These belong to the loop.
 	addr     string           // where clients connect
@@ -143,16 +143,16 @@
 	ticks := &clock{loop: n.loop}
 	n.core = query.New(log, ticks, cfg.Settings, cfg.Seed)
 	ticks.core = n.core
-	n.group = hostgroup.New(log, n.loop, n.core, cfg.Discovery)
-	n.hosts = serverlink.New(log, n.loop, n.core, cfg.Settings.ConnectTimeout, n.group.Endpoint)
+	n.discovery = discovery.New(log, n.loop, n.core, cfg.Discovery)
+	n.hosts = serverlink.New(log, n.loop, n.core, cfg.Settings.ConnectTimeout, n.discovery.Endpoint)
 	n.door = clientlink.New(log, n.loop, n.core, cfg.Settings, links-probeSockets,
 		func() bool { return n.service.Serving() })
 	n.join()
 	n.loop.Call(func() {
-		n.core.Connect(n.hosts, n.group)
+		n.core.Connect(n.hosts, n.discovery)
 		n.take(n.shared)
 		if cfg.Known != nil {
-			n.group.Restore(*cfg.Known)
+			n.discovery.Restore(*cfg.Known)
 		} else {
 			n.core.List(balance.ListSaved, nil)
 		}
@@ -251,7 +251,7 @@
 		"settings changed", !reflect.DeepEqual(cfg.Settings, n.cfg.Settings))
 	n.loop.Call(func() {
 		n.resettle(cfg)
-		n.group.Relocate(cfg.Discovery)
+		n.discovery.Relocate(cfg.Discovery)
 	})
 }
 
--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -22,7 +22,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lichenhitch/internal/config"
-	"lichenhitch/internal/hostgroup"
+	"lichenhitch/internal/discovery"
 	"lichenhitch/internal/settings"
 )
 
@@ -134,18 +134,18 @@
 	return out
 }
 
-// discovery answers each watch with the next of its answers, and holds it when there is none.
-type discovery struct {
+// scriptedDiscovery answers each watch with the next of its answers, and holds it when there is none.
+type scriptedDiscovery struct {
 	net.Listener
 	asked   chan string // the path of each call
 	answers chan string
 }
 
-func newDiscovery(t *testing.T) *discovery {
+func newDiscovery(t *testing.T) *scriptedDiscovery {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	d := &discovery{Listener: ln, asked: make(chan string, 100), answers: make(chan string, 100)}
+	d := &scriptedDiscovery{Listener: ln, asked: make(chan string, 100), answers: make(chan string, 100)}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -159,7 +159,7 @@
 	return d
 }
 
-func (d *discovery) serve(c net.Conn) {
+func (d *scriptedDiscovery) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
@@ -185,16 +185,16 @@
 }
 
 // startNode starts a node that knows some hosts.
-func startNode(t *testing.T, d *discovery, known string) *node {
+func startNode(t *testing.T, d *scriptedDiscovery, known string) *node {
 	t.Helper()
 	return startConfig(t, testConfig(t, d, known))
 }
 
-func testConfig(t *testing.T, d *discovery, known string) config.Config {
+func testConfig(t *testing.T, d *scriptedDiscovery, known string) config.Config {
 	t.Helper()
 	set, err := settings.Decode([]byte(testSettings))
 	require.NoError(t, err)
-	l, err := hostgroup.ParseList([]byte(known))
+	l, err := discovery.ParseList([]byte(known))
 	require.NoError(t, err)
 	return config.Config{Name: "n", Listen: "127.0.0.1:0", Management: "127.0.0.1:0", Discovery: d.Addr().String(),
 		Seed: 1, Sockets: 1024, MemoryMB: 192, Known: &l, Settings: set, Raw: []byte(testSettings), Dir: t.TempDir()}
--- a/cmd/lichenhitch/operate.go
+++ b/cmd/lichenhitch/operate.go
@@ -46,11 +46,11 @@
 // usable returns nil where there is a list to serve with.
 func (n *node) usable() error {
 	switch {
-	case !n.group.Known():
+	case !n.discovery.Known():
 		return errNoList
 	case n.core.Untold():
 		return errNoRight
-	case !n.group.Answered() && n.loop.Now()-n.begun < knownEnough:
+	case !n.discovery.Answered() && n.loop.Now()-n.begun < knownEnough:
 		return errOldList
 	}
 	return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,7 +14,7 @@
 	"github.com/tidwall/gjson"
 
 	"lichenhitch/balance"
-	"lichenhitch/internal/hostgroup"
+	"lichenhitch/internal/discovery"
 	"lichenhitch/internal/settings"
 )
 
@@ -34,7 +34,7 @@
 	Seed       uint64
 	MemoryMB   int // the node is killed above this
 	Sockets    int // descriptors that it may hold
-	Known      *hostgroup.List
+	Known      *discovery.List
 	Settings   balance.Settings
 	Raw        []byte // the settings as they stand in the file
 	Keys       Keys   // that the file has
@@ -83,11 +83,11 @@
 			return c, err
 		}
 	}
-	discovery := getenv
+	named := getenv
 	if again && root.Get("discovery").Exists() {
-		discovery = func(string) string { return "" }
+		named = func(string) string { return "" }
 	}
-	if c.Discovery, err = address(root, "discovery", discovery, "GW_DISCOVERY"); err != nil {
+	if c.Discovery, err = address(root, "discovery", named, "GW_DISCOVERY"); err != nil {
 		return c, err
 	}
 	if c.Seed, err = seed(root.Get("seed")); err != nil {
@@ -100,7 +100,7 @@
 		return c, err
 	}
 	if known := root.Get("known"); known.Exists() && known.Type != gjson.Null {
-		list, err := hostgroup.ParseList([]byte(known.Raw))
+		list, err := discovery.ParseList([]byte(known.Raw))
 		if err != nil {
 			return c, fmt.Errorf("known.%w", err)
 		}
--- a/internal/hostgroup/hostgroup.go
+++ b/internal/discovery/client.go
@@ -1,6 +1,6 @@
-// Package hostgroup keeps discovery's list of hosts: it watches for changes over HTTP, tells the core of them and
+// Package discovery keeps discovery's list of hosts: it watches for changes over HTTP, tells the core of them and
 // knows each host's address.
-package hostgroup
+package discovery
 
 import (
 	"fmt"
@@ -28,8 +28,8 @@
 	relocatePause = 100 * time.Millisecond
 )
 
-// Group is the host group.
-type Group struct {
+// Client calls discovery and keeps what it told.
+type Client struct {
 	log      *slog.Logger
 	loop     *evloop.Loop
 	core     *query.Core
@@ -48,165 +48,165 @@
 	urgentTo time.Duration // a failed call is tried again until then: discovery has moved
 }
 
-// New returns a host group that asks discovery at an address.
-func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, address string) *Group {
-	return &Group{log: log, loop: loop, core: core, address: address, hosts: make(map[balance.ServerID]string)}
+// New returns a client that asks discovery at an address.
+func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, address string) *Client {
+	return &Client{log: log, loop: loop, core: core, address: address, hosts: make(map[balance.ServerID]string)}
 }
 
 // Endpoint returns a host's address, or "" for one that is not listed.
-func (g *Group) Endpoint(server balance.ServerID) string { return g.hosts[server] }
+func (c *Client) Endpoint(server balance.ServerID) string { return c.hosts[server] }
 
 // Known says whether there is a list of hosts, be it an old one.
-func (g *Group) Known() bool { return g.listed }
+func (c *Client) Known() bool { return c.listed }
 
 // Answered says whether discovery has answered since the start.
-func (g *Group) Answered() bool { return g.answered }
+func (c *Client) Answered() bool { return c.answered }
 
 // Stale says whether the list may be an old one: discovery does not answer, or has not yet. A watch that is lost is noticed
 // within hold and callTimeout.
-func (g *Group) Stale() bool { return !g.answered || g.silent }
+func (c *Client) Stale() bool { return !c.answered || c.silent }
 
 // Restore takes the list as this node last had it.
-func (g *Group) Restore(l List) { g.take(l, balance.ListSaved) }
+func (c *Client) Restore(l List) { c.take(l, balance.ListSaved) }
 
 // Subscribe implements query.Group: it begins to watch, unless a watch is on.
-func (g *Group) Subscribe() {
-	if !g.watching {
-		g.call()
+func (c *Client) Subscribe() {
+	if !c.watching {
+		c.call()
 	}
 }
 
 // Relocate goes over to another discovery and asks it for the whole list at once: its versions may count
 // differently. The hosts known so far stay until it answers. With the address unchanged nothing is disturbed.
-func (g *Group) Relocate(address string) {
-	if address == g.address {
+func (c *Client) Relocate(address string) {
+	if address == c.address {
 		return
 	}
-	g.address, g.known, g.silent = address, false, true
-	g.urgentTo = g.loop.Now() + relocateWithin
-	g.timer.Stop()
-	g.drop()
-	g.call()
+	c.address, c.known, c.silent = address, false, true
+	c.urgentTo = c.loop.Now() + relocateWithin
+	c.timer.Stop()
+	c.drop()
+	c.call()
 }
 
 // call asks for what has changed.
-func (g *Group) call() {
-	g.watching = true
+func (c *Client) call() {
+	c.watching = true
 	within := hold + callTimeout
-	if left := g.urgentTo - g.loop.Now(); left > 0 {
+	if left := c.urgentTo - c.loop.Now(); left > 0 {
 		within = min(left, relocateTry)
 	}
-	g.timer = g.loop.After(within, func() { g.fail(fmt.Errorf("no answer in time")) })
+	c.timer = c.loop.After(within, func() { c.fail(fmt.Errorf("no answer in time")) })
 	switch {
-	case g.link == nil:
-		g.open, g.reused = false, false
-		g.link = g.loop.Dial(g.address, dialTimeout, g)
-	case g.open:
-		g.ask()
+	case c.link == nil:
+		c.open, c.reused = false, false
+		c.link = c.loop.Dial(c.address, dialTimeout, c)
+	case c.open:
+		c.ask()
 	}
 }
 
-func (g *Group) ask() {
+func (c *Client) ask() {
 	path := "/v1/servers"
-	if g.known {
-		path = fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", g.rev, hold.Milliseconds())
+	if c.known {
+		path = fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", c.rev, hold.Milliseconds())
 	}
-	g.link.Write(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, g.address))
+	c.link.Write(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, c.address))
 }
 
 // Opened implements evloop.Handler.
-func (g *Group) Opened() {
-	g.open = true
-	g.ask()
+func (c *Client) Opened() {
+	c.open = true
+	c.ask()
 }
 
 // Received implements evloop.Handler.
-func (g *Group) Received() {
-	a, err := http1.ParseAnswer(g.link.Peek())
+func (c *Client) Received() {
+	a, err := http1.ParseAnswer(c.link.Peek())
 	if err != nil {
-		g.fail(err)
+		c.fail(err)
 		return
 	}
 	if a.Size == 0 {
 		return
 	}
-	if !g.watching {
-		g.drop()
+	if !c.watching {
+		c.drop()
 		return
 	}
 	if a.Status != 200 {
-		g.fail(fmt.Errorf("status %d", a.Status))
+		c.fail(fmt.Errorf("status %d", a.Status))
 		return
 	}
 	list, err := ParseList(a.Body)
 	if err != nil {
-		g.fail(err)
+		c.fail(err)
 		return
 	}
-	g.timer.Stop()
-	g.watching = false
-	g.reused, g.answered, g.silent = true, true, false
-	g.urgentTo = 0
-	g.link.Discard(a.Size)
+	c.timer.Stop()
+	c.watching = false
+	c.reused, c.answered, c.silent = true, true, false
+	c.urgentTo = 0
+	c.link.Discard(a.Size)
 	if a.Close {
-		g.drop()
+		c.drop()
 	}
 	kind := balance.ListChanges
 	if list.All {
 		kind = balance.ListWhole
 	}
-	g.take(list, kind)
-	g.call() // at once: a watch lasts only as long as the next call follows
+	c.take(list, kind)
+	c.call() // at once: a watch lasts only as long as the next call follows
 }
 
 // take notes where hosts are and tells the core.
-func (g *Group) take(l List, kind balance.ListKind) {
-	g.rev, g.known, g.listed = l.Rev, true, true
+func (c *Client) take(l List, kind balance.ListKind) {
+	c.rev, c.known, c.listed = l.Rev, true, true
 	if l.All {
-		clear(g.hosts)
+		clear(c.hosts)
 	}
 	for i, h := range l.Hosts {
 		if h.State == balance.Gone {
-			delete(g.hosts, h.Server)
+			delete(c.hosts, h.Server)
 		} else {
-			g.hosts[h.Server] = l.address[i]
+			c.hosts[h.Server] = l.address[i]
 		}
 	}
-	g.core.List(kind, l.Hosts)
+	c.core.List(kind, l.Hosts)
 }
 
 // fail ends a watch. The balancer decides when to ask again, but for a discovery that has just moved.
-func (g *Group) fail(err error) {
-	g.timer.Stop()
-	g.drop()
-	g.silent = true
-	g.log.Warn("discovery did not answer", "error", err)
-	if g.watching && g.loop.Now()+relocatePause < g.urgentTo {
-		g.timer = g.loop.After(relocatePause, g.call)
+func (c *Client) fail(err error) {
+	c.timer.Stop()
+	c.drop()
+	c.silent = true
+	c.log.Warn("discovery did not answer", "error", err)
+	if c.watching && c.loop.Now()+relocatePause < c.urgentTo {
+		c.timer = c.loop.After(relocatePause, c.call)
 		return
 	}
-	if g.watching {
-		g.watching = false
-		g.core.List(balance.ListFailed, nil)
+	if c.watching {
+		c.watching = false
+		c.core.List(balance.ListFailed, nil)
 	}
 }
 
-func (g *Group) drop() {
-	g.link.Close()
-	g.link, g.open = nil, false
+func (c *Client) drop() {
+	c.link.Close()
+	c.link, c.open = nil, false
 }
 
 // Closed implements evloop.Handler. A connection that discovery closed just as it was asked again gets a new
 // one; the call counts from its beginning all the same.
-func (g *Group) Closed(err error) {
-	ended, reused := g.open, g.reused
-	g.link, g.open = nil, false
+func (c *Client) Closed(err error) {
+	ended, reused := c.open, c.reused
+	c.link, c.open = nil, false
 	switch {
-	case !g.watching:
+	case !c.watching:
 	case ended && reused:
-		g.reused = false
-		g.link = g.loop.Dial(g.address, dialTimeout, g)
+		c.reused = false
+		c.link = c.loop.Dial(c.address, dialTimeout, c)
 	default:
-		g.fail(err)
+		c.fail(err)
 	}
 }
--- a/internal/hostgroup/hostgroup_test.go
+++ b/internal/discovery/list_test.go
@@ -1,4 +1,4 @@
-package hostgroup
+package discovery
 
 import (
 	"testing"
