http1: what stands between chunks is bounded, and a chunked body is put together once

An answer that never ends was bounded only as far as its body goes: a chunk's size, extensions and trailers could go on and fill the memory until the call's time-out. They are ErrTooLong beyond four times the longest body. TestChunksWithoutEndAreTooLong fails without that for each of its four forms: chunks, extensions, a size, trailers.

The body was copied anew with every piece that came.

--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -32,6 +32,8 @@
 	switch {
 	case status == 204 || status == 304:
 		a.Size = h.size
+	case h.chunked && len(body) > chunkedMax:
+		return Answer{}, ErrTooLong
 	case h.chunked:
 		n, err := a.dechunk(body)
 		if n == 0 || err != nil {
@@ -50,9 +52,22 @@
 	return a, nil
 }
 
-// dechunk reads a chunked body and returns how many bytes it takes up, or 0 while it is not complete.
+// dechunk reads a chunked body and returns how many bytes it takes up, or 0 while it is not complete. The body is put
+// together only once it is: an answer that comes in many pieces is looked at with each of them.
 func (a *Answer) dechunk(data []byte) (int, error) {
-	at := 0
+	total := 0
+	n, err := eachChunk(data, func(piece []byte) { total += len(piece) })
+	if n == 0 || err != nil {
+		return 0, err
+	}
+	a.Body = make([]byte, 0, total)
+	return eachChunk(data, func(piece []byte) { a.Body = append(a.Body, piece...) })
+}
+
+// eachChunk hands on the chunks of a body and returns how many bytes they take up with all that stands between them, or 0
+// while the last one has not come.
+func eachChunk(data []byte, take func([]byte)) (int, error) {
+	at, total := 0, 0
 	for {
 		end := bytes.Index(data[at:], []byte("\r\n"))
 		if end < 0 {
@@ -64,26 +79,30 @@
 			return 0, ErrChunk
 		}
 		at += end + 2
-		if int(size) > bodyMax-len(a.Body) {
+		if total += int(size); total > bodyMax {
 			return 0, ErrTooLong
 		}
 		if size == 0 {
-			// Trailers, if any, end with an empty line.
-			if bytes.HasPrefix(data[at:], []byte("\r\n")) {
-				return at + 2, nil
-			}
-			if end := bytes.Index(data[at:], []byte("\r\n\r\n")); end >= 0 {
-				return at + end + 4, nil
-			}
-			return 0, nil
+			return trailers(data, at), nil
 		}
 		if len(data) < at+int(size)+2 {
 			return 0, nil
 		}
-		a.Body = append(a.Body, data[at:at+int(size)]...)
+		take(data[at : at+int(size)])
 		if at += int(size); !bytes.HasPrefix(data[at:], []byte("\r\n")) {
 			return 0, ErrChunk
 		}
 		at += 2
 	}
 }
+
+// trailers returns where the trailers that begin at a place end, or 0 while they have not. An empty line ends them.
+func trailers(data []byte, at int) int {
+	if bytes.HasPrefix(data[at:], []byte("\r\n")) {
+		return at + 2
+	}
+	if end := bytes.Index(data[at:], []byte("\r\n\r\n")); end >= 0 {
+		return at + end + 4
+	}
+	return 0
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -22,6 +22,9 @@
 	// HeadMax is how long the head of an answer may be, in bytes.
 	HeadMax = 16 << 10
 	bodyMax = 2 << 20
+	// chunkedMax is how long a chunked body may be with all that stands between its chunks, in bytes: sizes, extensions and
+	// trailers may go on without end.
+	chunkedMax = 4 * bodyMax
 )
 
 // head is a message up to its body.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -34,6 +34,20 @@
 }
 
 // FuzzAnswer feeds the parser of answers: an error is fine, a panic or a size beyond the data is not.
+// What stands between the chunks of a body without end is bounded as the body is.
+func TestChunksWithoutEndAreTooLong(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ first, piece string }{
+		"chunks":     {"", "1\r\n \r\n"},
+		"extensions": {"", "1;" + strings.Repeat("x", 1000) + "\r\n \r\n"},
+		"a size":     {"1;", "x"},
+		"trailers":   {"0\r\n", "X: y\r\n"},
+	} {
+		_, err := ParseAnswer([]byte(head + c.first + strings.Repeat(c.piece, chunkedMax/len(c.piece)+1)))
+		assert.ErrorIs(t, err, ErrTooLong, name)
+	}
+}
+
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 29\r\n\r\n{\"rev\":1,\"all\":true,\"targets\":[]}"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"))
