Discovery is watched in both modes, and what it has is there before it counts as told

Seen with the new tests on the code before, and what was at fault: - A silent watch was asked anew after 7.2 s (ask_within 10 s), an answer that trickles or never ends after 10.5 s: 4 s of hold and 2 s of call, then the balancer's back-off. The time was on the whole answer; bytes did not renew it. - After failures the next call came after up to 5.4 s (balance.askAgain, half of ask_within). - With registry_mode push there was no call at all: the balancer subscribes only with ListOnRequest, and nobody else did. The node lived by its known list for ever. - Changes to an older list were taken and brought a drained host back into use; a second answer behind the first was taken for the answer to the next call. - Sound before, and kept by tests: moves of discovery during a call, a pause and a dial, twice and back, late answers on dropped connections, large indented lists in pieces.

discovery.Client carries internal/choice/watch out and starts by itself, in both modes; ListFailed and Subscribe mean nothing on sockets any more (the balancer and the simulator are unchanged). A list is stale for the census in push mode too. Only the first failure in a row is logged, and when discovery answers again.

--- a/cmd/lichenhitch/affairs.go
+++ b/cmd/lichenhitch/affairs.go
@@ -124,8 +124,7 @@
 	r := control.Report{Taken: n.core.Verdict(), Clear: n.core.Clear(), Under: n.tuning.under, Asked: n.tuning.asked, Retuned: n.tuning.changes}
 	taken := func() {}
 	if n.reports%lookEvery == 0 {
-		r.Look = n.core.Look(n.tuning.set.Safety.ColdFor, n.weight(),
-			n.cfg.Settings.ListOnRequest && n.discovery.Stale()) // else the list is what the node was given
+		r.Look = n.core.Look(n.tuning.set.Safety.ColdFor, n.weight(), n.discovery.Stale())
 	}
 	if n.reports%lookEvery == 0 || len(n.tuning.told) > 0 || n.core.Fired() {
 		taken = n.evidence(&r)
--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -143,7 +143,7 @@
 	ticks := &clock{loop: n.loop}
 	n.core = query.New(log, ticks, cfg.Settings, cfg.Seed)
 	ticks.core = n.core
-	n.discovery = discovery.New(log, n.loop, n.core, cfg.Discovery)
+	n.discovery = discovery.New(log, n.loop, n.core, cfg.Discovery, cfg.Settings, cfg.Seed)
 	n.hosts = serverlink.New(log, n.loop, n.core, cfg.Settings.ConnectTimeout, n.discovery.Endpoint)
 	n.door = clientlink.New(log, n.loop, n.core, cfg.Settings, links-probeSockets,
 		func() bool { return n.service.Serving() })
@@ -156,11 +156,13 @@
 		} else {
 			n.core.List(balance.ListSaved, nil)
 		}
+		n.discovery.Start()
 	})
 	if err := n.settle(); err != nil { // may take as long as the disk does
 		n.stop()
 		return nil, err
 	}
+	n.awaitAgent()
 	n.loop.Call(func() {
 		if n.shared.Preceded(n.number) {
 			n.receive()
--- a/cmd/lichenhitch/operate.go
+++ b/cmd/lichenhitch/operate.go
@@ -13,7 +13,7 @@
 
 // knownEnough is how long a node with an old list waits for discovery before it counts as ready all the same: one that
 // is down at the start must not keep the node out.
-const knownEnough = 1500 * time.Millisecond
+var knownEnough = 1500 * time.Millisecond
 
 // The reasons why a node is not ready.
 var (
@@ -56,6 +56,24 @@
 	return nil
 }
 
+// awaitAgent waits until discovery's agent has told its list, where lists are pushed: what it has counts as told from the
+// first moment of this process, so that nothing may go by the list of an earlier one. It waits no longer than the shortest aim:
+// an agent that is silent must not keep the node out, and a client that comes at once and waits that long still gets what it
+// came for at its worth. It is for the goroutine that starts the node.
+func (n *node) awaitAgent() {
+	set := n.cfg.Settings
+	if set.ListOnRequest {
+		return
+	}
+	within := knownEnough
+	for _, c := range set.Classes {
+		within = min(within, c.Aim)
+	}
+	told := make(chan struct{})
+	n.loop.Call(func() { n.discovery.AfterFirst(within, func() { close(told) }) })
+	<-told
+}
+
 // Suspend implements management.Node.
 func (n *node) Suspend(host string, done func(error)) {
 	if !n.core.Names(balance.ServerID(host)) {
--- a/cmd/lichenhitch/policies.go
+++ b/cmd/lichenhitch/policies.go
@@ -114,6 +114,7 @@
 	n.core.Retune(set)
 	n.door.Retune(set)
 	n.hosts.Retune(set.ConnectTimeout)
+	n.discovery.Retune(set)
 	n.service.Within = life.StayWithin(longest)
 	return nil
 }
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -1,31 +1,31 @@
 // Package discovery keeps discovery's list of hosts: it watches for changes over HTTP, tells the core of them and
-// knows each host's address.
+// knows each host's address. Package watch decides when to call; a Client carries that out on a connection.
 package discovery
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"lichenhitch/balance"
+	"lichenhitch/internal/choice/watch"
 	"lichenhitch/internal/evloop"
 	"lichenhitch/internal/http1"
 	"lichenhitch/internal/query"
 )
 
-const (
-	// hold is how long a watch may wait for news. Short, so that a watch that was lost without a word is noticed.
-	hold = 4 * time.Second
-	// callTimeout is how long an answer may take beyond the hold.
-	callTimeout = 2 * time.Second
-	dialTimeout = time.Second
-	// relocateWithin is how long the first call at a new address may take, from one try to the next: what
-	// discovery tells there counts as told 4 s after the change.
-	relocateWithin = 4 * time.Second
-	// relocateTry is how long one of these tries may take; a call waits its turn at discovery for up to 2 s.
-	relocateTry = 2 * time.Second
-	// relocatePause is the pause after a try that failed.
-	relocatePause = 100 * time.Millisecond
+// dialTimeout is when a connection that does not come up is given up: half of what a call may take, for the answer needs
+// time too.
+const dialTimeout = watch.CallWithin / 2
+
+// The ends of a call that are no fault of the connection.
+var (
+	errLate      = errors.New("no answer in time")
+	errOutdated  = errors.New("the answer tells changes to a list that is older than the one that is held")
+	errNoList    = errors.New("the answer tells changes where the whole list was asked for")
+	errCallEnded = errors.New("the connection has ended")
 )
 
 // Client calls discovery and keeps what it told.
@@ -33,26 +33,33 @@
 	log      *slog.Logger
 	loop     *evloop.Loop
 	core     *query.Core
+	chance   *rand.Rand
 	address  string // of discovery
 	rev      int64
-	known    bool // there is a list to watch from
-	listed   bool // there is or was one
+	listed   bool // there is or was a list
 	answered bool // discovery has told one
 	silent   bool // the last call failed, or discovery has moved and has not answered yet
 	hosts    map[balance.ServerID]string
+	watch    watch.Watch
+	timer    *evloop.Timer // of the watch
 	link     *evloop.Link
 	open     bool
-	watching bool // a call is out
-	reused   bool // the connection has answered before
-	timer    *evloop.Timer
-	urgentTo time.Duration // a failed call is tried again until then: discovery has moved
+	first    func() // to be called once discovery has told a list
+}
+
+// New returns a client that asks discovery at an address, once it is started. The seed is for the spread of its calls.
+func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, address string, set balance.Settings, seed uint64) *Client {
+	return &Client{log: log, loop: loop, core: core, address: address, hosts: make(map[balance.ServerID]string),
+		watch: watch.Watch{Terms: termsOf(set)}, chance: rand.New(rand.NewPCG(seed, uint64(set.Self)))}
 }
 
-// New returns a client that asks discovery at an address.
-func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, address string) *Client {
-	return &Client{log: log, loop: loop, core: core, address: address, hosts: make(map[balance.ServerID]string)}
+func termsOf(set balance.Settings) watch.Terms {
+	return watch.Terms{Push: !set.ListOnRequest, AskWithin: set.Safety.AskWithin, Grace: set.Safety.DrainGrace}
 }
 
+// Retune takes new settings up, from the next call on.
+func (c *Client) Retune(set balance.Settings) { c.watch.Terms = termsOf(set) }
+
 // Endpoint returns a host's address, or "" for one that is not listed.
 func (c *Client) Endpoint(server balance.ServerID) string { return c.hosts[server] }
 
@@ -62,54 +69,90 @@
 // Answered says whether discovery has answered since the start.
 func (c *Client) Answered() bool { return c.answered }
 
-// Stale says whether the list may be an old one: discovery does not answer, or has not yet. A watch that is lost is noticed
-// within hold and callTimeout.
+// Stale says whether the list may be an old one: discovery does not answer, or has not yet. A watch that is lost without a
+// word is noticed within watch.Hold and watch.Overdue.
 func (c *Client) Stale() bool { return !c.answered || c.silent }
 
 // Restore takes the list as this node last had it.
-func (c *Client) Restore(l List) { c.take(l, balance.ListSaved) }
+func (c *Client) Restore(l List) {
+	c.take(l, balance.ListSaved)
+	c.watch.Listed = true
+}
 
-// Subscribe implements query.Group: it begins to watch, unless a watch is on.
-func (c *Client) Subscribe() {
-	if !c.watching {
-		c.call()
+// Start begins to watch, for as long as the loop runs.
+func (c *Client) Start() { c.step(watch.Start) }
+
+// AfterFirst calls f once discovery has told a list, or after a time if that is earlier.
+func (c *Client) AfterFirst(within time.Duration, f func()) {
+	if c.answered {
+		f()
+		return
 	}
+	c.first = f
+	c.loop.After(within, c.tellFirst)
 }
 
+func (c *Client) tellFirst() {
+	if f := c.first; f != nil {
+		c.first = nil
+		f()
+	}
+}
+
+// Subscribe implements query.Group. The watch goes on by itself, whatever the balancer thinks of it.
+func (c *Client) Subscribe() {}
+
 // Relocate goes over to another discovery and asks it for the whole list at once: its versions may count
 // differently. The hosts known so far stay until it answers. With the address unchanged nothing is disturbed.
 func (c *Client) Relocate(address string) {
-	if address == c.address {
+	if address != c.address {
+		c.address, c.silent = address, true
+		c.step(watch.Moved)
+	}
+}
+
+// step brings an event to the watch and carries its order out.
+func (c *Client) step(k watch.Kind) {
+	var order watch.Order
+	c.watch, order = c.watch.Step(watch.Event{Kind: k, Now: c.loop.Now(), Chance: c.chance.Float64()})
+	if order.Drop {
+		c.drop()
+	}
+	if order.Wake > 0 {
+		c.timer.Stop()
+		c.timer = c.loop.After(order.Wake-c.loop.Now(), c.due)
+	}
+	if order.Call {
+		c.call()
+	}
+}
+
+// due is the time that the watch named: that of the next call, or the end of one that was not answered.
+func (c *Client) due() {
+	if c.watch.Phase == watch.Calling {
+		c.fail(watch.Due, errLate)
 		return
 	}
-	c.address, c.known, c.silent = address, false, true
-	c.urgentTo = c.loop.Now() + relocateWithin
-	c.timer.Stop()
-	c.drop()
-	c.call()
+	c.step(watch.Due)
 }
 
-// call asks for what has changed.
+// call asks on the connection that there is, or on a new one.
 func (c *Client) call() {
-	c.watching = true
-	within := hold + callTimeout
-	if left := c.urgentTo - c.loop.Now(); left > 0 {
-		within = min(left, relocateTry)
-	}
-	c.timer = c.loop.After(within, func() { c.fail(fmt.Errorf("no answer in time")) })
-	switch {
-	case c.link == nil:
-		c.open, c.reused = false, false
+	if c.link == nil {
+		c.open = false
 		c.link = c.loop.Dial(c.address, dialTimeout, c)
-	case c.open:
+	} else if c.open {
 		c.ask()
 	}
 }
 
 func (c *Client) ask() {
 	path := "/v1/servers"
-	if c.known {
-		path = fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", c.rev, hold.Milliseconds())
+	switch c.watch.Form {
+	case watch.Held:
+		path = fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", c.rev, watch.Hold.Milliseconds())
+	case watch.Changes:
+		path = fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", c.rev, watch.Brief.Milliseconds())
 	}
 	c.link.Write(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, c.address))
 }
@@ -120,48 +163,57 @@
 	c.ask()
 }
 
-// Received implements evloop.Handler.
+// Received implements evloop.Handler. The time of a call is that of its whole answer: bytes do not renew it.
 func (c *Client) Received() {
 	a, err := http1.ParseAnswer(c.link.Peek())
 	if err != nil {
-		c.fail(err)
+		c.fail(watch.Refused, err)
 		return
 	}
 	if a.Size == 0 {
 		return
 	}
-	if !c.watching {
-		c.drop()
-		return
-	}
 	if a.Status != 200 {
-		c.fail(fmt.Errorf("status %d", a.Status))
+		c.fail(watch.Refused, fmt.Errorf("status %d", a.Status))
 		return
 	}
 	list, err := ParseList(a.Body)
+	if err == nil && !list.All && !c.watch.Listed {
+		err = errNoList
+	}
 	if err != nil {
-		c.fail(err)
+		c.fail(watch.Refused, err)
 		return
 	}
-	c.timer.Stop()
-	c.watching = false
-	c.reused, c.answered, c.silent = true, true, false
-	c.urgentTo = 0
-	c.link.Discard(a.Size)
-	if a.Close {
-		c.drop()
+	if !list.All && list.Rev < c.rev {
+		c.fail(watch.Outdated, errOutdated)
+		return
 	}
+	c.answer(list, a)
+}
+
+// answer takes a list that discovery has told, and goes on watching at once: a watch lasts only as long as the next call
+// follows.
+func (c *Client) answer(list List, a http1.Answer) {
+	if c.link.Discard(a.Size); a.Close || len(c.link.Peek()) > 0 {
+		c.drop() // what came unasked would be taken for the next answer
+	}
+	if c.silent && c.watch.Failures > 0 {
+		c.log.Info("discovery answers again", "failed calls", c.watch.Failures)
+	}
+	c.answered, c.silent = true, false
 	kind := balance.ListChanges
 	if list.All {
 		kind = balance.ListWhole
 	}
 	c.take(list, kind)
-	c.call() // at once: a watch lasts only as long as the next call follows
+	c.tellFirst()
+	c.step(watch.Answered)
 }
 
 // take notes where hosts are and tells the core.
 func (c *Client) take(l List, kind balance.ListKind) {
-	c.rev, c.known, c.listed = l.Rev, true, true
+	c.rev, c.listed = l.Rev, true
 	if l.All {
 		clear(c.hosts)
 	}
@@ -175,20 +227,13 @@
 	c.core.List(kind, l.Hosts)
 }
 
-// fail ends a watch. The balancer decides when to ask again, but for a discovery that has just moved.
-func (c *Client) fail(err error) {
-	c.timer.Stop()
-	c.drop()
-	c.silent = true
-	c.log.Warn("discovery did not answer", "error", err)
-	if c.watching && c.loop.Now()+relocatePause < c.urgentTo {
-		c.timer = c.loop.After(relocatePause, c.call)
-		return
-	}
-	if c.watching {
-		c.watching = false
-		c.core.List(balance.ListFailed, nil)
+// fail ends a call. The list that is held stays.
+func (c *Client) fail(k watch.Kind, err error) {
+	if c.watch.Failures == 0 { // an agent is called many times a second
+		c.log.Warn("discovery did not answer", "error", err)
 	}
+	c.silent = true
+	c.step(k)
 }
 
 func (c *Client) drop() {
@@ -196,17 +241,8 @@
 	c.link, c.open = nil, false
 }
 
-// Closed implements evloop.Handler. A connection that discovery closed just as it was asked again gets a new
-// one; the call counts from its beginning all the same.
+// Closed implements evloop.Handler.
 func (c *Client) Closed(err error) {
-	ended, reused := c.open, c.reused
 	c.link, c.open = nil, false
-	switch {
-	case !c.watching:
-	case ended && reused:
-		c.reused = false
-		c.link = c.loop.Dial(c.address, dialTimeout, c)
-	default:
-		c.fail(err)
-	}
+	c.fail(watch.Broken, fmt.Errorf("%w: %w", errCallEnded, err))
 }
