Rename clientlink and serverlink to clientconn and backend, and divide them by job

Need: the earlier words (client link, server link, door, hosts) are withdrawn for the field's: client connection, backend connection.

Change: internal/clientconn has Acceptor and Conn, internal/backend has Connector, attempts and probes, each in a file of its own. No behaviour changes; tests keep their assertions. go test -race of cmd/lichenhitch, evloop, discovery and query passes, and lint.

--- a/cmd/lichenhitch/endings_test.go
+++ b/cmd/lichenhitch/endings_test.go
@@ -141,13 +141,13 @@
 	client := dial(t, n)
 	require.Eventually(t, func() bool {
 		resting := 0
-		n.loop.Call(func() { resting = n.door.Resting() })
+		n.loop.Call(func() { resting = n.acceptor.Resting() })
 		return resting == 1
 	}, patience, time.Millisecond)
 	n.loop.Call(func() {
 		open(client, "")
 		delivered(t, client.Conn)
-		n.door.TurnAway()
+		n.acceptor.TurnAway()
 	})
 	left := leaving(n)
 	awaitClosedDoor(t, n)
--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -17,7 +17,8 @@
 	"golang.org/x/sys/unix"
 
 	"lichenhitch/balance"
-	"lichenhitch/internal/clientlink"
+	"lichenhitch/internal/backend"
+	"lichenhitch/internal/clientconn"
 	"lichenhitch/internal/config"
 	"lichenhitch/internal/control"
 	"lichenhitch/internal/discovery"
@@ -26,7 +27,6 @@
 	"lichenhitch/internal/life"
 	"lichenhitch/internal/management"
 	"lichenhitch/internal/query"
-	"lichenhitch/internal/serverlink"
 	"lichenhitch/internal/settings"
 	"lichenhitch/internal/site"
 )
@@ -94,8 +94,8 @@
 	loop      *evloop.Loop
 	core      *query.Core
 	discovery *discovery.Client
-	door      *clientlink.Door
-	hosts     *serverlink.Hosts
+	acceptor  *clientconn.Acceptor
+	connector *backend.Connector
 	desk      *evloop.Listener              // of the management address; nil where there is none
 	store     *handover.Store               // nil where nothing can be shared with another process
 	number    int                           // of this process, as the store counts
@@ -144,12 +144,12 @@
 	n.core = query.New(log, ticks, cfg.Settings, cfg.Seed)
 	ticks.core = n.core
 	n.discovery = discovery.New(log, n.loop, n.core, cfg.Discovery, cfg.Settings, cfg.Seed)
-	n.hosts = serverlink.New(log, n.loop, n.core, cfg.Settings.ConnectTimeout, n.discovery.Endpoint)
-	n.door = clientlink.New(log, n.loop, n.core, cfg.Settings, links-probeSockets,
+	n.connector = backend.New(log, n.loop, n.core, cfg.Settings.ConnectTimeout, n.discovery.Endpoint)
+	n.acceptor = clientconn.New(log, n.loop, n.core, cfg.Settings, links-probeSockets,
 		func() bool { return n.service.Serving() })
 	n.join()
 	n.loop.Call(func() {
-		n.core.Connect(n.hosts, n.discovery)
+		n.core.Connect(n.connector, n.discovery)
 		n.take(n.shared)
 		if cfg.Known != nil {
 			n.discovery.Restore(*cfg.Known)
@@ -222,7 +222,7 @@
 
 // openDoor begins to take clients.
 func (n *node) openDoor() error {
-	listener, err := n.loop.ListenShared(n.addr, n.shared.Preceded(n.number), n.door.Accept)
+	listener, err := n.loop.ListenShared(n.addr, n.shared.Preceded(n.number), n.acceptor.Accept)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -318,7 +318,7 @@
 		}
 	case life.SendAway:
 		n.core.Leave(n.service.PassThrough)
-		n.door.TurnAway()
+		n.acceptor.TurnAway()
 	}
 	n.loop.After(leaveLook, n.step)
 }
@@ -326,7 +326,7 @@
 // owed returns how many answers are owed or may be at any moment: to requests, to clients that have not sent theirs yet,
 // and to what is queued at a door that is just being closed.
 func (n *node) owed() int {
-	owed := n.core.Owed() + n.door.Resting()
+	owed := n.core.Owed() + n.acceptor.Resting()
 	if n.retired != nil && !n.retired.Done() {
 		owed++
 	}
--- a/cmd/lichenhitch/pass.go
+++ b/cmd/lichenhitch/pass.go
@@ -6,11 +6,11 @@
 	"golang.org/x/sys/unix"
 
 	"lichenhitch/balance"
-	"lichenhitch/internal/clientlink"
+	"lichenhitch/internal/backend"
+	"lichenhitch/internal/clientconn"
 	"lichenhitch/internal/evloop"
 	"lichenhitch/internal/handover"
 	"lichenhitch/internal/query"
-	"lichenhitch/internal/serverlink"
 )
 
 // This file hands connections that stand from an old process to the new one that has taken the address over.
@@ -55,12 +55,12 @@
 
 // hand takes a connection out of the loop for the successor.
 func (n *node) hand(c query.Client, a query.Attempt, arrival balance.Arrival, server balance.ServerID) bool {
-	client, ok := c.(*clientlink.Client)
-	if !ok || len(n.passing.queue) == cap(n.passing.queue) || !client.Idle() || !serverlink.Idle(a) {
+	client, ok := c.(*clientconn.Conn)
+	if !ok || len(n.passing.queue) == cap(n.passing.queue) || !client.Idle() || !backend.Idle(a) {
 		return false
 	}
 	p := handover.Passed{ID: client.ID(), Arrival: arrival, Server: server}
-	if p.Host, p.HostUnread, ok = serverlink.Detach(a); !ok {
+	if p.Host, p.HostUnread, ok = backend.Detach(a); !ok {
 		return false
 	}
 	if p.Client, p.ClientUnread, ok = client.Detach(); !ok {
@@ -128,10 +128,10 @@
 
 // adopt brings a connection that was handed over into the loop, both of its sides, and then to the core.
 func (n *node) adopt(p handover.Passed) {
-	var host *serverlink.Adopted
-	var client *clientlink.Client
+	var host *backend.Adopted
+	var client *clientconn.Conn
 	if err := n.loop.Adopt(p.Host, p.HostUnread, func(link *evloop.Link) evloop.Handler {
-		host = n.hosts.Adopt(link)
+		host = n.connector.Adopt(link)
 		return host
 	}); err != nil {
 		n.log.Warn("a host's connection was lost on the way from an earlier process", "error", err)
@@ -140,7 +140,7 @@
 		return
 	}
 	err := n.loop.Adopt(p.Client, p.ClientUnread, func(link *evloop.Link) evloop.Handler {
-		client = n.door.Adopt(link, p.ID)
+		client = n.acceptor.Adopt(link, p.ID)
 		return client
 	})
 	n.loop.Do(func() {
--- a/cmd/lichenhitch/policies.go
+++ b/cmd/lichenhitch/policies.go
@@ -112,8 +112,8 @@
 	longest := max(longestDeadline(set), longestDeadline(n.tuning.set)) // of queries that are open, too
 	n.tuning.set, n.tuning.under = set, p.Hash
 	n.core.Retune(set)
-	n.door.Retune(set)
-	n.hosts.Retune(set.ConnectTimeout)
+	n.acceptor.Retune(set)
+	n.connector.Retune(set.ConnectTimeout)
 	n.discovery.Retune(set)
 	n.service.Within = life.StayWithin(longest)
 	return nil
--- a/cmd/lichenhitch/policies_test.go
+++ b/cmd/lichenhitch/policies_test.go
@@ -37,7 +37,7 @@
 }
 
 // full has the node's door full, so that whoever comes is told at once when to come again: no later than the settings allow.
-func full(n *node) { n.loop.Call(func() { n.door.Limit(0) }) }
+func full(n *node) { n.loop.Call(func() { n.acceptor.Limit(0) }) }
 
 func advice(t *testing.T, n *node, extra string) string {
 	t.Helper()
--- a/cmd/lichenhitch/share.go
+++ b/cmd/lichenhitch/share.go
@@ -123,7 +123,7 @@
 	}
 	links := max(n.sockets-ownSockets-held-n.governs, fewestLinks)
 	n.loop.Limit(links)
-	n.door.Limit(max(links-probeSockets, fewestLinks))
+	n.acceptor.Limit(max(links-probeSockets, fewestLinks))
 	if others != n.others {
 		debug.SetMemoryLimit(memoryLimit(n.cfg.MemoryMB) / int64(others+1))
 		n.core.Fellows(others)
--- a/internal/serverlink/serverlink.go
+++ b/internal/backend/attempt.go
@@ -1,11 +1,7 @@
-// Package serverlink speaks the platform's lines with hosts: attempts, each on a connection of its own, and
-// probes, on one lasting connection for each host.
-package serverlink
+package backend
 
 import (
-	"bytes"
 	"errors"
-	"log/slog"
 	"strconv"
 	"time"
 
@@ -15,35 +11,9 @@
 	"lichenhitch/internal/query"
 )
 
-// Opener is what a query's client must be besides for a host of this protocol: it gives the first line that it
-// sent. The core knows no lines, so the server link asks the client for it.
-type Opener interface {
-	OpenLine(to []byte, within time.Duration) []byte
-}
-
-// Hosts holds the server links.
-type Hosts struct {
-	log      *slog.Logger
-	loop     *evloop.Loop
-	core     *query.Core
-	timeout  time.Duration // to connect
-	endpoint func(balance.ServerID) string
-	probes   map[balance.ServerID]*probe
-}
-
-// New returns the server links. endpoint tells where a host is, or "".
-func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, connectTimeout time.Duration,
-	endpoint func(balance.ServerID) string) *Hosts {
-	return &Hosts{log: log, loop: loop, core: core, timeout: connectTimeout, endpoint: endpoint,
-		probes: make(map[balance.ServerID]*probe)}
-}
-
-// Retune changes how long connecting may take.
-func (h *Hosts) Retune(connectTimeout time.Duration) { h.timeout = connectTimeout }
-
 // Attempt implements query.Servers.
-func (h *Hosts) Attempt(t query.Try, server balance.ServerID, within time.Duration) query.Attempt {
-	a := &attempt{hosts: h, try: t, until: h.loop.Now() + within}
+func (h *Connector) Attempt(t query.Try, server balance.ServerID, within time.Duration) query.Attempt {
+	a := &attempt{connector: h, try: t, until: h.loop.Now() + within}
 	a.link = h.loop.Dial(h.endpoint(server), min(h.timeout, within), a)
 	return a
 }
@@ -52,8 +22,8 @@
 type Adopted struct{ attempt }
 
 // Adopt makes a handler of such a connection.
-func (h *Hosts) Adopt(link *evloop.Link) *Adopted {
-	return &Adopted{attempt{hosts: h, link: link, sent: true, up: true}}
+func (h *Connector) Adopt(link *evloop.Link) *Adopted {
+	return &Adopted{attempt{connector: h, link: link, sent: true, up: true}}
 }
 
 // Attach says which try it is. What came meanwhile is handed on by Resume.
@@ -89,14 +59,14 @@
 
 // attempt is a query's connection to a host.
 type attempt struct {
-	hosts *Hosts
-	try   query.Try
-	link  *evloop.Link
-	until time.Duration
-	sent  bool // the first line is written
-	up    bool
-	last  word // what the host said of the end
-	said  balance.Report
+	connector *Connector
+	try       query.Try
+	link      *evloop.Link
+	until     time.Duration
+	sent      bool // the first line is written
+	up        bool
+	last      word // what the host said of the end
+	said      balance.Report
 }
 
 type word int
@@ -119,7 +89,7 @@
 	}
 	opener := a.try.Client().(Opener)
 	a.sent = true
-	a.link.Write(opener.OpenLine(nil, a.until-a.hosts.loop.Now()))
+	a.link.Write(opener.OpenLine(nil, a.until-a.connector.loop.Now()))
 }
 
 // Received implements evloop.Handler. Before UP, the lines are for the node; from then on they are the client's.
@@ -142,7 +112,7 @@
 			a.try.Up(whole)
 		default:
 			if !a.ending(string(first), rest) {
-				a.hosts.log.Warn("a host answered with an unknown line", "line", string(first))
+				a.connector.log.Warn("a host answered with an unknown line", "line", string(first))
 				a.last = failed
 			}
 			a.finish(whole)
@@ -199,7 +169,7 @@
 }
 
 func (a *attempt) fault(err error) {
-	a.hosts.log.Warn("a host's line cannot be passed on", "error", err)
+	a.connector.log.Warn("a host's line cannot be passed on", "error", err)
 	a.try.Faulty()
 }
 
@@ -261,118 +231,3 @@
 
 // Over implements query.Attempt.
 func (a *attempt) Over() bool { return a.up && a.last != none }
-
-// probeWithin is how long a host may take to answer a probe.
-const probeWithin = 500 * time.Millisecond
-
-// probe is the lasting connection on which a host is asked for its report.
-type probe struct {
-	hosts    *Hosts
-	server   balance.ServerID
-	endpoint string
-	link     *evloop.Link
-	open     bool
-	asking   bool
-	fresh    bool // nothing was answered yet on this connection
-	askedAt  time.Duration
-	timer    *evloop.Timer
-}
-
-// Probe implements query.Servers.
-func (h *Hosts) Probe(server balance.ServerID) {
-	p := h.probes[server]
-	at := h.endpoint(server)
-	if p != nil && p.endpoint != at { // it started anew elsewhere
-		p.end(balance.Cancelled)
-		p = nil
-	}
-	if p == nil {
-		p = &probe{hosts: h, server: server, endpoint: at, fresh: true}
-		h.probes[server] = p
-	}
-	p.ask()
-}
-
-func (p *probe) ask() {
-	if p.asking {
-		return
-	}
-	p.asking = true
-	p.askedAt = p.hosts.loop.Now()
-	p.timer = p.hosts.loop.After(probeWithin, func() { p.end(balance.TimedOut) })
-	switch {
-	case p.link == nil:
-		p.link = p.hosts.loop.Dial(p.endpoint, min(p.hosts.timeout, probeWithin), p)
-	case p.open:
-		p.link.Write([]byte("STATS\r\n"))
-	}
-}
-
-// Opened implements evloop.Handler.
-func (p *probe) Opened() {
-	p.open = true
-	p.link.Write([]byte("STATS\r\n"))
-}
-
-// Received implements evloop.Handler.
-func (p *probe) Received() {
-	for {
-		text, n, err := line.Next(p.link.Peek())
-		if err != nil {
-			p.end(balance.Errored)
-			return
-		}
-		if n == 0 {
-			return
-		}
-		p.link.Discard(n)
-		first, rest := line.Word(text)
-		switch {
-		case string(first) == "PONG":
-			p.fresh = false
-			p.answer(balance.OK, line.ParseReport(bytes.TrimSpace(rest)))
-		default:
-			p.end(balance.Errored)
-			return
-		}
-	}
-}
-
-func (p *probe) answer(o balance.Outcome, rep balance.Report) {
-	if !p.asking {
-		return
-	}
-	p.asking = false
-	p.timer.Stop()
-	p.hosts.core.Probed(p.server, o, p.hosts.loop.Now()-p.askedAt, rep)
-}
-
-// end drops the connection; the next probe makes a new one.
-func (p *probe) end(o balance.Outcome) {
-	p.drop()
-	p.answer(o, balance.Report{})
-}
-
-func (p *probe) drop() {
-	if p.hosts.probes[p.server] == p {
-		delete(p.hosts.probes, p.server)
-	}
-	p.link.Close()
-}
-
-// Closed implements evloop.Handler. A connection that idled may be closed by the host just as it is asked.
-func (p *probe) Closed(err error) {
-	switch {
-	case errors.Is(err, evloop.ErrNoRoom):
-		p.end(balance.Unsent)
-	case !p.asking:
-		p.drop()
-	case p.open && !p.fresh:
-		p.link, p.open, p.fresh = nil, false, true
-		p.link = p.hosts.loop.Dial(p.endpoint, min(p.hosts.timeout, probeWithin), p)
-	case p.open:
-		p.end(balance.Reset)
-	default:
-		p.end(balance.Unreachable)
-	}
-}
--- a/internal/query/bound_test.go
+++ b/internal/query/bound_test.go
@@ -10,7 +10,7 @@
 	"lichenhitch/internal/choice/rights"
 )
 
-// open has the attempt that is out ask whether its first line may go, as a server link does, and returns the answer.
+// open has the attempt that is out ask whether its first line may go, as a backend connection does, and returns the answer.
 func (w *world) open() bool { return w.last.Open() }
 
 func TestAHostThatTheCouncilTakesOutGetsNothingFromThatMoment(t *testing.T) {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -590,7 +590,7 @@
 	return balance.Unreachable
 }
 
-// Try is one attempt of a query, as its server link knows it. What is told of a try that is over has no effect.
+// Try is one attempt of a query, as its backend connection knows it. What is told of a try that is over has no effect.
 type Try struct {
 	query  *Query
 	number uint16
