A connection without a deadline is taken, whatever mode the site has

Ruled out: other faults of the line; the same line with a smaller d is taken.

TestAConnectionWithoutADeadlineIsTaken failed before.

--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -665,6 +665,17 @@
 	assert.Len(t, holder.firstLines(), 2)
 }
 
+// A connection that stood before has no deadline: its d is the longest time that fits 32 bits of microseconds.
+func TestAConnectionWithoutADeadlineIsTaken(t *testing.T) {
+	h := newHost(t, "a", echo)
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	for _, extra := range []string{"", ",at=a"} {
+		c := dial(t, n)
+		c.say(fmt.Sprintf("OPEN %x", lastID.Add(1)) + " 7f3a c=chat,t=acme,d=4294967,g=0000000000000000" + extra)
+		assert.Equal(t, "UP r1", c.hear(), "%q", extra)
+	}
+}
+
 // Silence, half a line and a trickle each end in an error, and so does what comes while the answer is awaited; its
 // query is taken back. An id that is in use is refused, and its owner goes on.
 func TestClientsThatDoNotKeepToTheOrderAreTurnedAway(t *testing.T) {
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -16,8 +16,9 @@
 // Max is the longest line, with its CRLF.
 const Max = 4 << 10
 
-// maxWait is the longest wait that a client may tell, in milliseconds. Clients wait for seconds.
-const maxWait = 600_000
+// maxWait is the longest wait that a client may tell, in milliseconds: a day. Clients wait for seconds, but one without a
+// deadline, as of a connection that stood before, tells the longest time that fits 32 bits of microseconds, 4,294,967 ms.
+const maxWait = 24 * 60 * 60 * 1000
 
 // The faults of a line.
 var (
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -41,7 +41,7 @@
 	second  = 1e6 // in microseconds, the unit of all times here
 	minute  = 60 * second
 	micros  = "microseconds"
-	longest = 10 * minute // what a client's line may tell, too; see line.Open
+	longest = 10 * minute
 )
 
 func truth(key string) func(gjson.Result) bool {
