A process that is new, or told late, saves up a cold host's budget from then on

What all processes together send a cold host in a window was seen for none of them: each began with its whole share at first sight, also one that had just been restarted or told seconds late. balance/cold_test.go plays many processes against hosts that start, and counts what they send in any window over N + 2 sqrt(N) + 2. Each now begins with a part by chance, and one connection for all, and saves up from the moment of being told. A heavy connection takes its weight out of the budget, and one heavier than all processes' budget of a window goes elsewhere; a light one still counts as one, so that none comes in a row.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -215,11 +215,11 @@
 		}
 		return
 	case s == nil:
-		s = &server{hash: hashOf(string(entry.Server))}
+		s = &server{hash: hashOf(string(entry.Server)), fedAt: b.now}
 		b.byID[entry.Server] = s
 		b.servers = append(b.servers, s)
 	case s.told.Started != entry.Started:
-		*s = server{probing: s.probing, hash: s.hash}
+		*s = server{probing: s.probing, hash: s.hash, fedAt: b.now}
 	}
 	s.told, s.listed = entry, true
 	b.present(s)
@@ -269,7 +269,7 @@
 	if s == nil {
 		return
 	}
-	*s = server{told: s.told, listed: true, probing: s.probing, hash: s.hash, conns: s.conns}
+	*s = server{told: s.told, listed: true, probing: s.probing, hash: s.hash, conns: s.conns, fedAt: b.now}
 	if b.present(s); b.set.Probes && s.State == Ready && !s.probing {
 		b.probe(s)
 	}
@@ -471,13 +471,13 @@
 	b.fit = b.fit[:0]
 	for _, s := range b.servers {
 		sound := !(trust && b.aside(s)) && !s.probing
-		if b.permitted(r, s) && sound && b.setUpRoom(s) && b.coldRoom(s) {
+		if b.permitted(r, s) && sound && b.setUpRoom(s) && b.coldRoom(s, r.weight) {
 			b.fit = append(b.fit, s)
 		}
 	}
 	if len(b.fit) == 0 {
 		return b.pick(b.servers, func(s *server) (float64, bool) {
-			return s.rank, b.permitted(r, s) && b.setUpRoom(s) && b.coldRoom(s)
+			return s.rank, b.permitted(r, s) && b.setUpRoom(s) && b.coldRoom(s, r.weight)
 		})
 	}
 	return b.lowest(b.fit, r.homes)
@@ -664,7 +664,7 @@
 	}
 	b.turnedAway, b.triedAt = 0, b.now
 	r.attempts = append(r.attempts, attempt{server: s, sentAt: b.now, ahead: s.settingUp, pending: true})
-	s.budget--
+	s.budget -= max(1, r.weight)
 	s.settingUp++
 	b.opened(r)
 	b.note(s, r.weight)
@@ -897,34 +897,34 @@
 
 // ---- Cold servers ----
 
-// coldRoom says whether a server that has just started may take one more connection from this balancer. It
-// guards against all balancers together pushing it over: each keeps to its own share of a cautious budget. It
-// is saved up from a start by chance until it holds a connection, so that the sum over balancers is right
-// however many come to each; one that was not used for a window lapses.
-func (b *Balancer) coldRoom(s *server) bool {
-	age := b.now - s.Started
+// coldRoom says whether a server that has just started may take one more connection of such weight from this
+// balancer. It guards against all balancers together pushing it over: each keeps to its share of a cautious
+// budget. It is saved up from the moment of being told, with nothing for before, and from a start by chance
+// until it holds a connection, so that the sum over balancers is right however many come to each; one that
+// was not used for a window lapses. One that is heavier than what all may send goes elsewhere.
+func (b *Balancer) coldRoom(s *server, weight float64) bool {
+	age, first := b.now-s.Started, s.admitted == 0
 	if s.admitted = 1; s.Started <= 0 || age >= b.set.Safety.ColdFor {
 		return true
 	}
-	share := b.coldShare(s, age)
-	if s.fedAt == 0 {
-		s.budget, s.fedAt = share+b.rng.Float64(), b.now
+	all, window := float64(b.set.Balancers*(1+b.fellows)), b.coldBudget(s, age)
+	if first {
+		s.budget = b.rng.Float64() + 1/all
 	}
-	s.budget += share * float64(b.now-s.fedAt) / float64(max(b.set.Safety.TipAfter, 1))
-	s.budget -= math.Ceil(max(0, s.budget-share-1))
-	s.admitted, s.fedAt = min(1, share), b.now
-	return s.budget >= 1
+	s.budget += window / all * float64(b.now-s.fedAt) / float64(max(b.set.Safety.TipAfter, 1))
+	s.budget -= math.Ceil(max(0, s.budget-window/all-1))
+	s.admitted, s.fedAt = min(1, window/all), b.now
+	return s.budget >= 1 && weight <= max(1, window)
 }
 
-// coldShare is this balancer's share of what a cold server may be sent in one window, in connections: a
-// cautious part of what the rule allows on the pace that would just fill the server over its warm-up. Of the
-// climb only the slowest is certain.
-func (b *Balancer) coldShare(s *server, age time.Duration) float64 {
+// coldBudget is what all together may send a cold server in one window, in connections: a cautious part of
+// what the rule allows on the pace that would just fill it over its warm-up. Of the climb only the slowest is
+// certain.
+func (b *Balancer) coldBudget(s *server, age time.Duration) float64 {
 	safe := b.set.Safety
 	warm := safe.ColdFrom + (1-safe.ColdFrom)*float64(max(age, 0))/float64(safe.ColdFor)
 	pace := b.capacityOf(s) / max(safe.ColdFor, reportLife).Seconds()
-	allowed := coldCaution * safe.OverloadFactor * warm * pace * safe.TipAfter.Seconds()
-	return allowed / float64(b.set.Balancers*(1+b.fellows))
+	return coldCaution * safe.OverloadFactor * warm * pace * safe.TipAfter.Seconds()
 }
 
 // ---- Discovery ----
--- a/balance/state.go
+++ b/balance/state.go
@@ -355,7 +355,7 @@
 	from := b.rng.IntN(len(b.servers)) // so that equal ones take turns
 	for i := range b.servers {
 		s := b.servers[(from+i)%len(b.servers)]
-		if !b.stale(s) || b.aside(s) || len(lowest) == n && rank(s) >= rank(lowest[n-1]) || !b.coldRoom(s) {
+		if !b.stale(s) || b.aside(s) || len(lowest) == n && rank(s) >= rank(lowest[n-1]) || !b.coldRoom(s, 0) {
 			continue
 		}
 		at := len(lowest)
