--- a/cmd/lichenhitch/endings_test.go
+++ b/cmd/lichenhitch/endings_test.go
@@ -27,8 +27,8 @@
 	}, patience, time.Millisecond)
 }
 
-// peers returns a host that hands each connection out once it has said UP.
-func peers(t *testing.T) (*host, chan net.Conn) {
+// served returns a node, a client that it serves, and the host's end of that connection.
+func served(t *testing.T) (*node, *client, net.Conn) {
 	t.Helper()
 	conns := make(chan net.Conn, 1)
 	h := newHost(t, "a", func(_ string, c net.Conn, _ *bufio.Reader) {
@@ -36,17 +36,16 @@
 		conns <- c
 		<-t.Context().Done()
 	})
-	return h, conns
+	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	c := dial(t, n)
+	open(c, "")
+	require.Equal(t, "UP r1", c.hear())
+	return n, c, <-conns
 }
 
 // Half a line of a host lies unread when its client is moved. A close over it would reset the host's side.
 func TestMovingOverUnreadInputResetsNoHost(t *testing.T) {
-	h, conns := peers(t)
-	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
-	client := dial(t, n)
-	open(client, "")
-	require.Equal(t, "UP r1", client.hear())
-	hostConn := <-conns
+	n, client, hostConn := served(t)
 	n.loop.Call(func() {
 		_, err := io.WriteString(hostConn, "M 1 half")
 		require.NoError(t, err)
@@ -62,12 +61,7 @@
 // A client's line is under way to a host that says its last word and closes over it. The word reaches the client all the
 // same, and in good order.
 func TestALastWordSurvivesALineThatCrossesIt(t *testing.T) {
-	h, conns := peers(t)
-	n := startNode(t, newDiscovery(t), list(1, true, targetsOf(h)...))
-	client := dial(t, n)
-	open(client, "")
-	require.Equal(t, "UP r1", client.hear())
-	hostConn := <-conns
+	n, client, hostConn := served(t)
 	n.loop.Call(func() {
 		client.say("M 1 ab")
 		delivered(t, client.Conn) // so that the loop looks at the client first
