--- a/internal/evloop/ending.go
+++ b/internal/evloop/ending.go
@@ -188,9 +188,9 @@
 // deliverRest has the handler look at what came before the connection broke.
 func (k *Link) deliverRest() {
 	if len(k.in) > k.from && !k.muted {
-		k.resting = true
+		k.delivering = true
 		k.handler.Received()
-		k.resting = false
+		k.delivering = false
 	}
 	k.in, k.from = nil, 0
 }
--- a/internal/evloop/link.go
+++ b/internal/evloop/link.go
@@ -43,8 +43,8 @@
 	paused  bool          // an adopted connection whose handler is not ready; what comes is kept
 	late    error         // its end, if that came meanwhile
 	// lastWord is said if the connection is ended for want of room.
-	lastWord []byte
-	resting  bool // the connection is over, and its handler looks at what came before
+	lastWord   []byte
+	delivering bool // the connection is over, and its handler looks at what came before
 }
 
 func (k *Link) opened(c gnet.Conn) gnet.Action {
@@ -116,7 +116,7 @@
 
 // Peek returns what was received and not yet used up. It is valid until the callback ends.
 func (k *Link) Peek() []byte {
-	if k.closed && !k.resting {
+	if k.closed && !k.delivering {
 		return nil
 	}
 	return k.in[k.from:]
@@ -124,7 +124,7 @@
 
 // Discard uses up n bytes.
 func (k *Link) Discard(n int) {
-	if !k.closed || k.resting {
+	if !k.closed || k.delivering {
 		k.from += n
 	}
 }
