control, census: no second host is handed over before its groups are known

Cause, by a trace of each node's looks and the leader's census at Prepare, Grant and CallBack: the council granted without knowing. (2) Core.next granted by a fleet up to 1 s old: n3 had told its groups at 28.395, t0 was granted at 28.413, the book knew at 28.79; and it granted before it called back. (3) Nothing asked whether nodes had told of their groups: they had looked twice or three times. Ruled out: a leader that changed (one term), homes against the book (it had no groups at any Prepare).

Change: a group begins to be named by what the node holds now too; a node says groups_unknown in its first 8 looks; while a node whose right may run has not told this leader, one host is out at a time; Prepare and Grant go by a merge of that moment, after calls back. Elsewhere: a new leader's first merge, and three times a right of silence, dropped the groups of whoever was not heard; they stay (C8).

--- a/internal/choice/census/census.go
+++ b/internal/choice/census/census.go
@@ -26,6 +26,8 @@
 //	C6  A new leader takes no list for current before it has heard more than half of the members, or for Terms.Patience.
 //	C7  What hardly matters makes no entry: worth moves when it has doubled or halved, the groups that stand stay while
 //	    somebody names them.
+//	C8  Silence takes no group from its homes: what a member named last counts until it tells otherwise or is no member, and while
+//	    a member has told this leader nothing, the groups that were said before stay.
 package census
 
 import (
@@ -79,7 +81,9 @@
 	Seen    uint64 // the log's index up to which the node knew at its newest look, which found this version
 	Stale   bool   // its discovery does not answer
 	Hosts   []Host
-	Gone    []string // since then, sorted
+
+	GroupsUnknown bool     // it has not looked often enough to tell which groups gather at its hosts
+	Gone          []string // since then, sorted
 }
 
 // Terms are what a merge goes by.
@@ -106,6 +110,8 @@
 	seen    uint64
 	stale   bool
 	hosts   map[string]Host
+
+	groupsUnknown bool
 }
 
 // New returns the census of a leader that was elected at a time.
@@ -141,10 +147,16 @@
 			v.hosts[h.ID] = sound(h)
 		}
 	}
-	v.at, v.seq, v.version, v.seen, v.stale = now, r.Seq, r.Version, r.Seen, r.Stale
+	v.at, v.seq, v.version, v.seen, v.stale, v.groupsUnknown = now, r.Seq, r.Version, r.Seen, r.Stale, r.GroupsUnknown
 	return v.version
 }
 
+// GroupsKnown says whether a node has told this leader which groups gather at its hosts, after enough looks to know.
+func (c *Census) GroupsKnown(node string) bool {
+	v := c.nodes[node]
+	return v != nil && !v.groupsUnknown
+}
+
 // steady returns what a worth is said to be that was said to be another one: that one, unless it has doubled or halved, else
 // the nearest power of two.
 func steady(last, now float64) float64 {
--- a/internal/choice/census/merge.go
+++ b/internal/choice/census/merge.go
@@ -22,9 +22,11 @@
 		_, member := slices.BinarySearch(t.Members, node)
 		return !member
 	})
-	var fresh, current []*view
+	var held, fresh, current []*view
 	for _, node := range slices.Sorted(maps.Keys(c.nodes)) {
-		if v := c.nodes[node]; now-v.at <= t.Fresh {
+		v := c.nodes[node]
+		held = append(held, v)
+		if now-v.at <= t.Fresh {
 			fresh = append(fresh, v)
 			if !v.stale {
 				current = append(current, v)
@@ -40,6 +42,7 @@
 			before[h.ID] = h
 		}
 	}
+	allHeard := len(held) == len(t.Members)
 	var f Fleet
 	for _, id := range listed(current, before) {
 		h := before[id]
@@ -60,7 +63,7 @@
 		h.Failed = h.Failed || unsure || 2*failing > len(fresh)
 		h.Warm = h.Warm && !h.Failed
 		if len(fresh) > 0 {
-			h.Worth, h.Groups = steady(before[id].Worth, worth), groups(before[id].Groups, id, fresh)
+			h.Worth, h.Groups = steady(before[id].Worth, worth), groups(before[id].Groups, id, held, allHeard)
 		}
 		f.Hosts = append(f.Hosts, h)
 	}
@@ -128,18 +131,18 @@
 	return best
 }
 
-// groups returns whose home a host is: those that were said before and that a node still names come first, then those that
-// the most nodes name, MostGroups at most.
-func groups(before []string, id string, fresh []*view) []string {
+// groups returns whose home a host is: those that were said before, and that a node still names or a member that was not heard
+// yet may name, come first, then those that the most nodes name, MostGroups at most.
+func groups(before []string, id string, held []*view, allHeard bool) []string {
 	named := map[string]int{}
-	for _, v := range fresh {
+	for _, v := range held {
 		for _, g := range v.hosts[id].Groups {
 			named[g]++
 		}
 	}
 	for _, g := range before {
-		if named[g] > 0 {
-			named[g] += len(fresh)
+		if named[g] > 0 || !allHeard {
+			named[g] += len(held)
 		}
 	}
 	all := slices.Collect(maps.Keys(named))
--- a/internal/choice/census/reporter.go
+++ b/internal/choice/census/reporter.go
@@ -46,6 +46,7 @@
 	has     uint64            // by the leader, as far as is known
 	groups  map[string]*group
 	sum     float64 // of the worth of all, smoothed
+	looks   int     // taken so far, up to fade
 }
 
 // group is one that some connections here belong to, or did a few looks ago.
@@ -70,6 +71,7 @@
 // Look takes a look over. Names that cannot stand in the log are left out.
 func (r *Reporter) Look(l Look) {
 	r.seen, r.stale = l.Seen, l.Stale
+	r.looks = min(r.looks+1, fade)
 	next, changed := r.version+1, r.version == 0
 	sum := 0.0
 	for _, id := range slices.Sorted(maps.Keys(l.Worth)) {
@@ -79,7 +81,7 @@
 		r.sum = sum
 	}
 	r.sum += (sum - r.sum) / fade
-	homes, here := r.homes(l.Groups), map[string]bool{}
+	homes, here := r.homes(l.Groups, sum), map[string]bool{}
 	for _, h := range l.Hosts {
 		if !named(h.ID) {
 			continue
@@ -125,8 +127,8 @@
 }
 
 // homes returns the groups to be named, by host, sorted: those that have made a good part of what this node holds for some
-// looks.
-func (r *Reporter) homes(all []Group) map[string][]string {
+// looks. A group begins to be named by what the node holds now (holds) too: after a start the smoothed sum is still far below it.
+func (r *Reporter) homes(all []Group, holds float64) map[string][]string {
 	for _, g := range r.groups {
 		g.level -= g.level / fade
 	}
@@ -148,7 +150,7 @@
 	byHost, n := map[string][]string{}, 0
 	for _, name := range names {
 		g := r.groups[name]
-		g.named = n < MostGroups && (g.level >= namedFrom*r.sum || g.named && g.level >= namedTo*r.sum)
+		g.named = n < MostGroups && (g.level >= namedFrom*max(r.sum, holds) || g.named && g.level >= namedTo*r.sum)
 		if !g.named {
 			continue
 		}
@@ -184,7 +186,7 @@
 	if since > r.version || since < r.floor {
 		since = 0
 	}
-	p := Report{Version: r.version, Since: since, Seen: r.seen, Stale: r.stale}
+	p := Report{Version: r.version, Since: since, Seen: r.seen, Stale: r.stale, GroupsUnknown: r.looks < fade}
 	for _, id := range slices.Sorted(maps.Keys(r.hosts)) {
 		if h := r.hosts[id]; h.since > since {
 			p.Hosts = append(p.Hosts, h.Host)
--- a/internal/choice/census/walk_test.go
+++ b/internal/choice/census/walk_test.go
@@ -340,3 +340,52 @@
 	p, _ = r.Report()
 	assert.Zero(t, p.Since, "it is not known any more what has left since")
 }
+
+// TestAPairSeenOnceAfterAStartIsNoGroup: the looks of a node that has just started, as traced, with one chance pair among them.
+func TestAPairSeenOnceAfterAStartIsNoGroup(t *testing.T) {
+	r := NewReporter()
+	held, pair := []float64{0, 7, 6, 4, 5, 6, 4, 4, 5}, 2
+	for i, sum := range held {
+		l := Look{Hosts: []Host{{ID: "a", Warm: true}}, Worth: map[string]float64{"a": sum}}
+		if i == pair {
+			l.Groups = []Group{{Name: "g", Worth: 2, Homes: []string{"a"}}}
+		}
+		r.Look(l)
+		p, _ := r.Report()
+		assert.Empty(t, p.Hosts[0].Groups, "look %d", i)
+		assert.Equal(t, i+1 < fade, p.GroupsUnknown, "look %d", i)
+	}
+}
+
+// TestAGroupIsNamedSoonAfterAStart where it stays: a third of what the node holds.
+func TestAGroupIsNamedSoonAfterAStart(t *testing.T) {
+	r := NewReporter()
+	for range fade {
+		r.Look(Look{Hosts: []Host{{ID: "a", Warm: true}}, Worth: map[string]float64{"a": 6},
+			Groups: []Group{{Name: "g", Worth: 2, Homes: []string{"a"}}}})
+	}
+	p, _ := r.Report()
+	assert.Len(t, p.Hosts[0].Groups, 1)
+	assert.False(t, p.GroupsUnknown)
+}
+
+// TestAGroupStaysWhileWhoNamesItIsNotHeard: at a new leader, and after the node was cut off.
+func TestAGroupStaysWhileWhoNamesItIsNotHeard(t *testing.T) {
+	terms := Terms{Fresh: time.Second, Members: []string{"n0", "n1"}, Before: []turns.Host{{ID: "a", Groups: []string{"g"}}}}
+	report := func(groups ...string) Report {
+		return Report{Process: Process{1, 1}, Version: 1, Hosts: []Host{{ID: "a", Groups: groups}}}
+	}
+	groups := func(c *Census, now time.Duration) []string { return c.Merge(now, terms).Hosts[0].Groups }
+	c := New(0)
+	c.Take(0, "n0", report())
+	assert.Equal(t, []string{"g"}, groups(c, 0), "n1 may name it")
+	c.Take(0, "n1", report("g"))
+	again := report()
+	again.Seq = 1
+	c.Take(time.Minute, "n0", again)
+	assert.Equal(t, []string{"g"}, groups(c, time.Minute), "n1 was cut off with its connections")
+	told := report()
+	told.Seq = 1
+	c.Take(time.Minute, "n1", told)
+	assert.Empty(t, groups(c, time.Minute))
+}
--- a/internal/choice/turns/order.go
+++ b/internal/choice/turns/order.go
@@ -183,10 +183,10 @@
 	if b.due(now) {
 		return Command{At: now}, true
 	}
-	u := b.use()
-	if ref, ok := b.tooMany(&u); ok {
-		return Command{At: now, CallBack: &ref}, true
+	if cmd, any := b.CallBack(now); any {
+		return cmd, true
 	}
+	u := b.use()
 	places := b.waiting(now)
 	if last, hosts := b.Horizon(), b.nextHosts(places); !slices.Equal(last.Hosts, hosts) {
 		return Command{At: now, Horizon: &Widen{Version: last.Version + 1, Hosts: hosts}}, true
@@ -199,6 +199,29 @@
 	return Command{}, false
 }
 
+// CallBack returns the call back that is due, false if none: of what has not begun and does not fit any more beside what is out.
+func (b *Book) CallBack(now time.Duration) (Command, bool) {
+	u := b.use()
+	ref, due := b.tooMany(&u)
+	if !due {
+		return Command{}, false
+	}
+	return Command{At: max(now, b.at), CallBack: &ref}, true
+}
+
+// Alone says whether no host is out but that of a turn: by a turn, by hand or by itself.
+func (b *Book) Alone(id string) bool {
+	t, known := b.Turn(id)
+	if !known {
+		return false
+	}
+	u := b.use()
+	if e, _ := b.host(t.Host); e.counts() || t.Phase.Out() {
+		return u.site == 1
+	}
+	return u.site == 0
+}
+
 // tooMany returns the latest turn that has to be called back: any while too many hosts have failed, else one that would
 // free what too many hosts are out of.
 func (b *Book) tooMany(u *use) (Ref, bool) {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -769,8 +769,20 @@
 }
 
 // next returns what the leader proposes next, the same order each time: who there is, what may be out, what the hosts are,
-// then the turns.
+// then the turns. A host is taken out or handed over by what the nodes have told up to now, not by the book's last look.
 func (c *Core) next(now time.Duration) (turns.Command, bool) {
+	cmd, any := c.nextByBook(now)
+	if !any || cmd.Prepare == nil && cmd.Grant == nil {
+		return cmd, any
+	}
+	if fleet, changed := c.fleetNow(now); changed {
+		return turns.Command{Fleet: &turns.Fleet{Hosts: fleet, Seen: c.applied}}, true
+	}
+	return cmd, true
+}
+
+// nextByBook is next by the hosts as the book has them.
+func (c *Core) nextByBook(now time.Duration) (turns.Command, bool) {
 	if c.book.Limits() != c.Site.Turns {
 		limits := c.Site.Turns
 		return turns.Command{Limits: &limits}, true
@@ -782,13 +794,16 @@
 		return turns.Command{Fleet: &turns.Fleet{Hosts: fleet, Seen: c.applied}}, true
 	}
 	stamp := max(c.stamp, now)
+	if cmd, any := c.book.CallBack(stamp); any {
+		return cmd, true
+	}
 	views := c.views(now)
 	for _, t := range c.book.Turns() {
 		if t.Phase == turns.Preparing && len(c.book.Clear(t.ID, views)) == 0 {
 			return turns.Command{Grant: &turns.Ref{ID: t.ID, Round: t.Round}}, true
 		}
 	}
-	if cmd, any := c.book.Next(stamp); any && c.keepsRoom(now, cmd) {
+	if cmd, any := c.book.Next(stamp); any && c.keepsRoom(now, cmd) && c.knowsHomes(now, cmd) {
 		return cmd, true
 	}
 	return c.book.Stuck(stamp, views, stuckAfter*c.Site.Rights.Lasts)
@@ -866,12 +881,26 @@
 	return all
 }
 
-// HeldUp returns what a turn in Preparing waits for, as far as this node leads.
+// HeldUp returns which nodes a turn waits for, as far as this node leads: in Preparing, and where it is asked for beside another.
 func (c *Core) HeldUp(now time.Duration, t turns.Turn) []turns.Blocker {
-	if t.Phase != turns.Preparing || !c.leading {
+	switch {
+	case !c.leading:
 		return nil
+	case t.Phase == turns.Preparing:
+		return c.book.Clear(t.ID, c.views(now))
+	case t.Phase == turns.Asked && !c.book.Alone(t.ID):
+		return c.unknownHomes(now)
+	}
+	return nil
+}
+
+// unknownHomes returns the nodes for whose word of their groups a turn waits beside another one.
+func (c *Core) unknownHomes(now time.Duration) (blockers []turns.Blocker) {
+	for _, node := range c.groupsUnknown(now) {
+		blockers = append(blockers, turns.Blocker{Node: node,
+			Why: "the node has not told yet which groups gather at its hosts: it will some seconds after its start by itself"})
 	}
-	return c.book.Clear(t.ID, c.views(now))
+	return blockers
 }
 
 // Seated returns where this node's seat stands, false where it has none or belongs to no council yet.
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lichenhitch/internal/choice/census"
+	"lichenhitch/internal/choice/rights"
 	"lichenhitch/internal/choice/turns"
 	"lichenhitch/internal/peer/peerpb"
 )
@@ -67,7 +68,8 @@
 	if !any {
 		return nil
 	}
-	q := &peerpb.Census{Boot: c.Boot, Version: p.Version, Since: p.Since, Seen: p.Seen, Stale: p.Stale, Gone: p.Gone}
+	q := &peerpb.Census{Boot: c.Boot, Version: p.Version, Since: p.Since, Seen: p.Seen, Stale: p.Stale, Gone: p.Gone,
+		GroupsUnknown: p.GroupsUnknown}
 	for _, h := range p.Hosts {
 		q.Hosts = append(q.Hosts, &peerpb.SeenHost{Id: h.ID, Zone: h.Zone, Kind: h.Kind, StartUs: uint64(h.Start / time.Microsecond),
 			Draining: h.Draining, Warm: h.Warm, Failing: h.Failing, Worth: float32(h.Worth), Groups: h.Groups})
@@ -93,7 +95,8 @@
 	if q == nil || ask.Node == c.Site.Node { // its own is taken whenever it looks
 		return 0
 	}
-	p := census.Report{Process: census.Process{Life: ask.Life, Boot: q.Boot}, Seq: ask.Seq, Version: q.Version, Since: q.Since, Seen: q.Seen, Stale: q.Stale, Gone: q.Gone}
+	p := census.Report{Process: census.Process{Life: ask.Life, Boot: q.Boot}, Seq: ask.Seq, Version: q.Version, Since: q.Since,
+		Seen: q.Seen, Stale: q.Stale, Gone: q.Gone, GroupsUnknown: q.GroupsUnknown}
 	for _, h := range q.Hosts {
 		p.Hosts = append(p.Hosts, census.Host{ID: h.Id, Zone: h.Zone, Kind: h.Kind, Start: time.Duration(h.StartUs) * time.Microsecond,
 			Draining: h.Draining, Warm: h.Warm, Failing: h.Failing, Worth: float64(h.Worth), Groups: h.Groups})
@@ -106,13 +109,18 @@
 	return c.hosts.census.Take(now, ask.Node, p)
 }
 
-// fleet returns the hosts as the nodes see them, all together, once a second and where a turn's end may wait for it; true where that is news to the book, or where
-// a turn is reported done whose host was seen in service since.
+// fleet is fleetNow once a second, and where a turn's end may wait for it.
 func (c *Core) fleet(now time.Duration) ([]turns.Host, bool) {
-	s := &c.hosts
-	if now < s.at {
+	if now < c.hosts.at {
 		return nil, false
 	}
+	return c.fleetNow(now)
+}
+
+// fleetNow returns the hosts as the nodes see them, all together; true where that is news to the book, or where a turn is reported
+// done whose host was seen in service since.
+func (c *Core) fleetNow(now time.Duration) ([]turns.Host, bool) {
+	s := &c.hosts
 	s.at = now + fleetEvery
 	if p, any := s.reporter.Report(); any {
 		s.own++
@@ -147,6 +155,22 @@
 	return f.Hosts, news
 }
 
+// knowsHomes says whether a command takes no host out beside another one before it is known which groups gather at them.
+func (c *Core) knowsHomes(now time.Duration, cmd turns.Command) bool {
+	return cmd.Prepare == nil || c.book.Alone(cmd.Prepare.ID) || len(c.groupsUnknown(now)) == 0
+}
+
+// groupsUnknown returns the nodes that may send and have not told this leader yet which groups gather at their hosts.
+func (c *Core) groupsUnknown(now time.Duration) (nodes []string) {
+	for _, node := range c.book.Members() {
+		lapsed := c.book.Dead(node) || c.table.Standing(now, node) == rights.Lapsed
+		if !lapsed && !c.hosts.census.GroupsKnown(node) {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
 // equalHosts says whether nothing is news of a host; of one that nobody is sure of, whether it is in service is none.
 func equalHosts(a, b turns.Host, unsure bool) bool {
 	return a.ID == b.ID && a.Zone == b.Zone && a.Kind == b.Kind && a.Worth == b.Worth && a.Banned == b.Banned &&
--- a/internal/control/hosts_test.go
+++ b/internal/control/hosts_test.go
@@ -102,3 +102,48 @@
 	}
 	assert.Equal(t, []turns.Phase{turns.Preparing, turns.Asked, turns.Preparing}, []turns.Phase{a.phase("t-a"), a.phase("t-b"), a.phase("t-c")})
 }
+
+// besides has two turns asked for where two hosts may be out, and n2 tell whether it knows its groups.
+func (a *alone) besides(unknown bool) {
+	a.t.Helper()
+	s := *a.core.Site
+	s.Turns.Site = 2
+	a.core.Retune(&s)
+	a.pass(10 * time.Second)
+	a.tellsGroups(nil, unknown)
+	a.ask("t-a", "a")
+	a.ask("t-b", "b")
+}
+
+// tellsGroups has n2 tell which groups gather at both hosts, and confirm what it is told.
+func (a *alone) tellsGroups(holds []*peerpb.Out, unknown bool, groups ...string) *peerpb.RenewReply {
+	return a.asks(1, a.core.Book().Horizon().Version, func(q *peerpb.RenewRequest) {
+		q.Holds, q.Census = holds, &peerpb.Census{Version: a.seq, GroupsUnknown: unknown, Hosts: []*peerpb.SeenHost{
+			{Id: "a", Warm: true, Groups: groups}, {Id: "b", Warm: true, Groups: groups}}}
+	})
+}
+
+// TestASecondHostWaitsUntilItsGroupsAreKnown: a node that has just started may send to it and has not told yet.
+func TestASecondHostWaitsUntilItsGroupsAreKnown(t *testing.T) {
+	a := newAlone(t)
+	a.besides(true)
+	require.Equal(t, []turns.Phase{turns.Preparing, turns.Asked}, []turns.Phase{a.phase("t-a"), a.phase("t-b")})
+	blockers := a.core.HeldUp(a.now, a.turn("t-b"))
+	require.Len(t, blockers, 1)
+	assert.Equal(t, "n2", blockers[0].Node)
+	a.tellsGroups(nil, false)
+	assert.Equal(t, turns.Preparing, a.phase("t-b"))
+}
+
+// TestAGroupThatIsToldWithTheLastConfirmationKeepsItsSecondHome: it is called back before anybody is told to begin.
+func TestAGroupThatIsToldWithTheLastConfirmationKeepsItsSecondHome(t *testing.T) {
+	a := newAlone(t)
+	a.besides(false)
+	require.Equal(t, []turns.Phase{turns.Preparing, turns.Preparing}, []turns.Phase{a.phase("t-a"), a.phase("t-b")})
+	outs := a.tellsGroups(nil, false).Outs
+	require.Len(t, outs, 2)
+	a.tellsGroups(nil, false) // its horizon is recorded
+	a.tellsGroups(outs, false, "room")
+	assert.Equal(t, []turns.Phase{turns.Granted, turns.Asked}, []turns.Phase{a.phase("t-a"), a.phase("t-b")})
+	assert.Equal(t, "another home of one of its groups is out", a.turn("t-b").Why)
+}
