peer: a call that comes during a client's pause is made or told late in its time

Symptom: TestAReplayIsGivenUpInItsTime stood for 8 minutes. In the node a replay of writes waited up to Pause (1 s), and told late that its time was over.

Cause, from stacks (the test in <-answer, the third worker in Client.pause) and code: Client.work asked paced() of an empty queue, went into pause(), and lane.wake was only looked at after it. A call's time was kept by nobody while the worker paused, or made another call. Ruled out: the peer (not called), a lost wake-up of an idle worker (wake holds one).

Change: the worker waits for the first of a call, the end of the pause, a peer that another lane reached and Close; during a pause it takes the first call that waits for none; each waiting call has its own timer.

Elsewhere: sleeps that poll other processes' locks stay; nothing tells of those.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -61,7 +60,7 @@
 
 // NewClient returns a client of the peer of a name at an address, for calls until Close. Nothing is dialled before the first.
 func NewClient(node, addr string, limits ClientLimits) *Client {
-	c := &Client{peer: node + " (" + addr + ")", limits: limits.orDefaults()}
+	c := &Client{peer: node + " (" + addr + ")", limits: limits.orDefaults(), raft: newLane(), renew: newLane(), rest: newLane()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	var protocols http.Protocols
 	protocols.SetHTTP1(true) // a call that is given up takes its connection with it; in HTTP/2 that would stay
@@ -73,14 +72,15 @@
 	options := []connect.ClientOption{connect.WithReadMaxBytes(c.limits.Body), connect.WithAcceptCompression("gzip", nil, nil)}
 	c.council = peerpbconnect.NewCouncilClient(boundClient{c}, "http://"+addr, options...)
 	c.desk = peerpbconnect.NewDeskClient(boundClient{c}, "http://"+addr, options...)
-	for _, l := range []**lane{&c.raft, &c.renew, &c.rest} {
-		*l = &lane{wake: make(chan struct{}, 1)}
+	for _, l := range c.lanes() {
 		c.workers.Add(1)
-		go c.work(*l)
+		go c.work(l)
 	}
 	return c
 }
 
+func (c *Client) lanes() [ClientLinks]*lane { return [ClientLinks]*lane{c.raft, c.renew, c.rest} }
+
 // Close gives up the calls under way and those that wait, and ends within a second, even if a done does not return.
 func (c *Client) Close() {
 	c.cancel()
@@ -106,28 +106,11 @@
 	return reply, err
 }
 
-// lane is a queue with one worker.
-type lane struct {
-	mu     sync.Mutex
-	queue  []*waiting
-	closed bool
-	wake   chan struct{} // holds one
-}
-
-// waiting is a call in a queue. One of the two is called, once.
-type waiting struct {
-	name   string
-	by     time.Time
-	within time.Duration
-	run    func(context.Context) error // calls the peer, and done where that went well
-	fail   func(*Error)                // calls done
-}
-
 // send puts a call into a lane; where that is full, the oldest makes way, or the call comes to nothing.
 func send[Q, A any](c *Client, l *lane, name string, within time.Duration, oldestGoes bool, q *Q, done func(*A, error),
 	call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error)) {
-	w := &waiting{
-		name: name, by: time.Now().Add(within), within: within,
+	c.put(l, oldestGoes, &waiting{
+		name: name, by: time.Now().Add(within), within: within, ownPauses: name == "Replay",
 		run: func(ctx context.Context) error {
 			reply, err := call(ctx, connect.NewRequest(q))
 			if err == nil {
@@ -136,75 +119,53 @@
 			return err
 		},
 		fail: func(e *Error) { e.Call, e.Peer = name, c.peer; done(nil, e) },
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case l.closed || c.ctx.Err() != nil:
-		go w.fail(closed(name))
-		return
-	case len(l.queue) < c.limits.Queue:
-	case oldestGoes:
-		go l.queue[0].fail(&Error{Kind: Dropped, What: fmt.Sprintf("%d newer ones wait", c.limits.Queue), Do: doLook})
-		l.queue[0] = nil
-		l.queue = l.queue[1:]
-	default:
-		go w.fail(&Error{Kind: Busy, What: fmt.Sprintf("%d calls wait already", c.limits.Queue), Do: doLook})
-		return
-	}
-	l.queue = append(l.queue, w)
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
-
-// paced says whether the call that is next comes from one who makes pauses itself: Replay, which may be worth nothing once
-// the client's pause is over.
-func (l *lane) paced() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.queue) > 0 && l.queue[0].name == "Replay"
+	})
 }
 
-// take returns the call that is next, or nil.
-func (l *lane) take() *waiting {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.queue) == 0 {
-		return nil
+// put puts a call into a lane, and tells it when its time is over there, whatever the worker does meanwhile.
+func (c *Client) put(l *lane, oldestGoes bool, w *waiting) {
+	if c.ctx.Err() != nil {
+		go w.fail(closed(w.name))
+		return
 	}
-	w := l.queue[0]
-	l.queue[0] = nil
-	l.queue = l.queue[1:]
-	return w
+	l.put(w, c.limits.Queue, oldestGoes, func() {
+		if l.drop(w) {
+			w.fail(told(w.name, c.peer, w.within, context.DeadlineExceeded))
+		}
+	})
 }
 
 // work calls the peer, one call after the other, until Close.
 func (c *Client) work(l *lane) {
 	defer c.workers.Done()
 	for c.ctx.Err() == nil {
-		if !l.paced() {
-			c.pause()
-		}
-		if w := l.take(); w != nil {
+		pause := c.pauseLeft()
+		if w := l.take(pause > 0); w != nil {
 			c.call(w)
 			continue
 		}
-		select {
-		case <-l.wake:
-		case <-c.ctx.Done():
-		}
+		c.await(l, pause)
 	}
-	l.mu.Lock()
-	rest := l.queue
-	l.queue, l.closed = nil, true
-	l.mu.Unlock()
-	for _, w := range rest {
+	for _, w := range l.close() {
 		w.fail(closed(w.name))
 	}
 }
 
+// await returns once a call has come, the peer was reached, the pause is over, if there is one, or at Close.
+func (c *Client) await(l *lane, pause time.Duration) {
+	var over <-chan time.Time
+	if pause > 0 {
+		timer := time.NewTimer(pause)
+		defer timer.Stop()
+		over = timer.C
+	}
+	select {
+	case <-l.wake:
+	case <-over:
+	case <-c.ctx.Done():
+	}
+}
+
 func (c *Client) call(w *waiting) {
 	ctx, cancel := context.WithDeadline(c.ctx, w.by)
 	defer cancel()
@@ -223,8 +184,14 @@
 func (c *Client) reached(it bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if it && c.failed == 0 {
+		return
+	}
 	if it {
 		c.failed, c.next = 0, time.Time{}
+		for _, l := range c.lanes() {
+			l.notify() // the pause is over for all
+		}
 		return
 	}
 	most := min(c.limits.Pause, leastPause<<min(c.failed, 16))
@@ -232,20 +199,11 @@
 	c.next = time.Now().Add(most/4 + rand.N(max(most*3/4, 1)))
 }
 
-// pause waits until the peer may be tried, or until Close.
-func (c *Client) pause() {
+// pauseLeft returns how long it is until the peer may be tried again; 0 or less: it may.
+func (c *Client) pauseLeft() time.Duration {
 	c.mu.Lock()
-	wait := time.Until(c.next)
-	c.mu.Unlock()
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.ctx.Done():
-	}
+	defer c.mu.Unlock()
+	return time.Until(c.next)
 }
 
 // Renew implements Node, as the others do.
