rollout, control: a trial's lease goes on over a restart

Clients stayed on a policy that nobody could take back.

Cause: NewHolder had the lease begin at the start; the store did not have its end. The reason for leaving it (a fall by silence at a start halts a rollout) does not stand: turn.seen halts for Crashed and Faulty only, Answer takes the same trial again after Silence. TestAStartPastTheLeaseHaltsNothing shows it on processes: taken again, the stage waits, the log has the start alone.

Change: the store has the end of the lease as a moment of CLOCK_BOOTTIME with the boot's ID (internal/boottime), written when a trial is taken, when its end moves back, and when the stored one is more than half a lease old. NewHolder takes the end as an argument; past it the node has fallen by silence. Another boot, no clock, an end further off than a lease or an earlier version's store: over. Ruled out: the system's time, which may be set back; a write an answer. Starts are kept over silence, or a trial that crashes a node which is cut off now and then never reaches its limit.

--- a/internal/choice/rollout/holder.go
+++ b/internal/choice/rollout/holder.go
@@ -23,7 +23,7 @@
 	Good   Hash   `json:"good"`
 	Trial  Hash   `json:"trial,omitempty"`
 	Round  uint64 `json:"round,omitempty"`  // that the trial was told in
-	Starts int    `json:"starts"`           // of the process under the trial; a start in good order after a stop by hand counts too
+	Starts int    `json:"starts"`           // of the process under the trial, or Refuse after silence; a start after a stop by hand counts too
 	Refuse Hash   `json:"refuse,omitempty"` // a trial that this node fell back from, in that round
 	Fell   Fall   `json:"fell,omitempty"`
 	Of     uint64 `json:"of,omitempty"` // the round that Refuse was told in
@@ -41,23 +41,29 @@
 }
 
 // Holder is a node's side: it goes by the good policy or by a trial that lapses. Times are of the node's own monotonic
-// clock. After each call that returns true the node stores Stored and then goes by Policy. Use NewHolder.
+// clock. After each call that returns true the node stores Stored and StoredUntil, and then goes by Policy. Use NewHolder.
 type Holder struct {
-	s     Stored
-	asked time.Duration // when the question was sent that the newest answer is to; before the first, the start
-	lease time.Duration
-	now   time.Duration // the newest that it was told
+	s      Stored
+	asked  time.Duration // when the question was sent that the newest answer is to; before the first, the start
+	until  time.Duration // the end of the trial's lease
+	stored time.Duration // the end that is stored: until, or up to half a lease before it
+	now    time.Duration // the newest that it was told
 }
 
 // NewHolder begins a life of the process at now, with what was stored. Under a trial this counts as one more start: from
-// crashes on the node falls back by itself. A trial that was stored lapses, without an answer, lease after the start. The
-// caller stores Stored before it goes on.
-func NewHolder(s Stored, crashes int, lease, now time.Duration) *Holder {
-	h := &Holder{s: s, asked: now, lease: lease, now: now}
-	if s.Trial != "" {
-		if h.s.Starts++; h.s.Starts >= crashes {
-			h.fall(Crashed)
-		}
+// crashes on the node falls back by itself. The lease of a trial ends, without an answer, at until, which is the stored end by the
+// clock of this process; where that has passed, the node has fallen back by silence. The caller stores Stored before it goes on.
+func NewHolder(s Stored, crashes int, until, now time.Duration) *Holder {
+	h := &Holder{s: s, asked: now, until: until, stored: until, now: now}
+	if s.Trial == "" {
+		return h
+	}
+	h.s.Starts++
+	switch {
+	case h.s.Starts >= crashes:
+		h.fall(Crashed)
+	case until <= now:
+		h.fall(Silence)
 	}
 	return h
 }
@@ -65,6 +71,23 @@
 // Stored is what the node has to have in its store.
 func (h *Holder) Stored() Stored { return h.s }
 
+// StoredUntil is the end of the trial's lease that the node has to have in its store with it, on a clock that goes on over its starts; 0
+// where there is no trial.
+func (h *Holder) StoredUntil() time.Duration {
+	if h.s.Trial == "" {
+		return 0
+	}
+	return h.stored
+}
+
+// Starts is how often the process was started under the trial that the node goes by.
+func (h *Holder) Starts() int {
+	if h.s.Trial == "" {
+		return 0
+	}
+	return h.s.Starts
+}
+
 // Policy is what the node is to go by.
 func (h *Holder) Policy() Hash {
 	if h.s.Trial != "" {
@@ -90,7 +113,8 @@
 	if a.Round < h.s.Round || asked < h.asked || a.Trial && asked+a.Lease <= h.now {
 		return false
 	}
-	before := h.s
+	before, stored := h.s, h.stored
+	again := a.Policy == h.s.Trial || a.Policy == h.s.Refuse && h.s.Fell == Silence
 	h.asked = asked
 	h.s.Round = a.Round
 	if h.s.Of != a.Round {
@@ -107,13 +131,22 @@
 		h.s.Trial = a.Policy
 		h.fall(Faulty)
 	default:
-		if a.Policy != h.s.Trial {
-			h.s.Trial, h.s.Starts = a.Policy, 0
+		if !again {
+			h.s.Starts = 0
 		}
-		h.s.Refuse, h.s.Fell, h.s.Of = "", Stays, 0
-		h.lease = a.Lease
+		h.s.Trial, h.s.Refuse, h.s.Fell, h.s.Of = a.Policy, "", Stays, 0
+		h.extend(asked+a.Lease, a.Lease, before.Trial != a.Policy)
+	}
+	return h.s != before || h.stored != stored
+}
+
+// extend takes a new end of the lease, and has it stored where the trial is new, or where the stored end is later, or more than half
+// a lease earlier.
+func (h *Holder) extend(until, lease time.Duration, isNew bool) {
+	h.until = until
+	if isNew || until < h.stored || until-h.stored > lease/2 {
+		h.stored = until
 	}
-	return h.s != before
 }
 
 // Lapse says whether the node must go back now: its trial has lapsed. Next is when to ask once more, 0: never.
@@ -122,8 +155,8 @@
 	if h.s.Trial == "" {
 		return false, 0
 	}
-	if end := h.asked + h.lease; now < end {
-		return false, end
+	if now < h.until {
+		return false, h.until
 	}
 	h.fall(Silence)
 	return true, 0
@@ -134,7 +167,7 @@
 	if h.s.Trial == "" {
 		return 0
 	}
-	return h.asked + h.lease
+	return h.until
 }
 
 // Unfit says that the node's settings have changed and the trial does not fit them any more. It says whether there was one.
@@ -146,8 +179,12 @@
 	return true
 }
 
-// fall goes back to the good policy.
+// fall goes back to the good policy. Starts are kept over silence, since the same trial may be taken again: else one that crashes a
+// node which is cut off now and then would never be known for it.
 func (h *Holder) fall(why Fall) {
 	h.s.Refuse, h.s.Fell, h.s.Of = h.s.Trial, why, h.s.Round
-	h.s.Trial, h.s.Starts = "", 0
+	h.s.Trial = ""
+	if why != Silence {
+		h.s.Starts = 0
+	}
 }
--- a/internal/choice/rollout/top_test.go
+++ b/internal/choice/rollout/top_test.go
@@ -40,7 +40,7 @@
 			name := fmt.Sprintf("n%d%d", s, n)
 			site.Nodes = append(site.Nodes, Place{name, site.Name})
 			f.nodes = append(f.nodes, &fieldNode{name, site.Name,
-				NewHolder(Stored{Good: AsTheyAre().Hash()}, 3, f.limits.Lease, f.now), NewTeller(name, site.Name)})
+				NewHolder(Stored{Good: AsTheyAre().Hash()}, 3, 0, f.now), NewTeller(name, site.Name)})
 		}
 		f.tree.Sites = append(f.tree.Sites, site)
 	}
@@ -89,7 +89,7 @@
 		require.NoError(f.t, err)
 		require.Equal(f.t, f.top.Doc(n.site), d)
 		n.holder.Answer(d.Assigned(n.name, nil), f.now, sound)
-		n.teller.Tick(f.now, d.Slice, n.holder.Seen(n.name), n.holder.Stored().Starts, 0, false)
+		n.teller.Tick(f.now, d.Slice, n.holder.Seen(n.name), n.holder.Starts(), 0, false)
 		var guards []string
 		if n.name == fire {
 			guards = []string{"drain"}
--- a/internal/control/policies.go
+++ b/internal/control/policies.go
@@ -56,6 +56,9 @@
 	Texts   map[rollout.Hash]json.RawMessage `json:"texts"`             // of those that Stored names
 	Crashes int                              `json:"crashes,omitempty"` // of the trial, and its lease, as the top has them
 	Lease   time.Duration                    `json:"lease,omitempty"`
+	// LeaseEnd is the end of the trial's lease by the node's time, or up to half a lease before it. The store has it on a clock that goes
+	// on over starts.
+	LeaseEnd time.Duration `json:"-"`
 }
 
 const (
@@ -108,7 +111,7 @@
 	for h, text := range c.Kept.Texts {
 		p.texts[h] = text
 	}
-	p.holder = rollout.NewHolder(c.Kept.Stored, c.Kept.Crashes, c.Kept.Lease, now)
+	p.holder = rollout.NewHolder(c.Kept.Stored, c.Kept.Crashes, c.Kept.LeaseEnd, now)
 	p.wanted = asIs.Hash() // which the loop goes by from its start
 	c.policies = p
 	if t := p.holder.Stored().Trial; t != "" && c.fits(t) != nil {
@@ -124,7 +127,8 @@
 // goBy makes durable what the node goes by, and then has the loop go by it.
 func (c *Core) goBy() error {
 	s := c.policies.holder.Stored()
-	k := Kept{Stored: s, Crashes: c.Kept.Crashes, Lease: c.Kept.Lease, Texts: map[rollout.Hash]json.RawMessage{}}
+	k := Kept{Stored: s, Crashes: c.Kept.Crashes, Lease: c.Kept.Lease, LeaseEnd: c.policies.holder.StoredUntil(),
+		Texts: map[rollout.Hash]json.RawMessage{}}
 	for _, h := range []rollout.Hash{s.Good, s.Trial, s.Refuse} {
 		if text := c.policies.texts[h]; text != nil {
 			k.Texts[h] = text
@@ -157,11 +161,15 @@
 
 // changed takes a change of what the node is to go by over.
 func (c *Core) changed(why string) {
+	before := c.Kept.Stored
 	if err := c.goBy(); err != nil {
 		c.fail(err)
 		return
 	}
 	s := c.policies.holder.Stored()
+	if s == before {
+		return // a lease that goes on
+	}
 	c.env.Tell("is to go by a policy", "policy", c.policies.holder.Policy(), "trial", s.Trial != "", "round", s.Round, "why", why)
 }
 
@@ -171,7 +179,7 @@
 	if lapsed, _ := p.holder.Lapse(now); lapsed {
 		c.changed(unheard)
 	}
-	p.teller.Tick(now, p.slice, p.holder.Seen(c.Site.Node), p.holder.Stored().Starts, len(c.report.Taken.Outs),
+	p.teller.Tick(now, p.slice, p.holder.Seen(c.Site.Node), p.holder.Starts(), len(c.report.Taken.Outs),
 		c.disturbed() || p.retuned)
 	p.retuned = false
 }
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"lichenhitch/internal/boottime"
 	"lichenhitch/internal/choice/rights"
 	"lichenhitch/internal/choice/turns"
 	"lichenhitch/internal/choice/upstream"
@@ -121,12 +122,27 @@
 }
 
 // kept reads what the node kept of policies.
-func (t *Thread) kept() (k Kept, err error) {
+func (t *Thread) kept() (Kept, error) {
 	raw, err := t.store.Get(noteBucket, notePolicy)
 	if err != nil || raw == nil {
-		return k, err
+		return Kept{}, err
 	}
-	return k, json.Unmarshal(raw, &k)
+	var k storedPolicies
+	if err := json.Unmarshal(raw, &k); err != nil {
+		return Kept{}, err
+	}
+	now := t.loop.Now()
+	k.Kept.LeaseEnd = leaseEndFromStore(k.LeaseEnd, k.Lease, now, t.sinceBoot())
+	return k.Kept, nil
+}
+
+// sinceBoot returns the present moment on the clock that goes on over restarts, none where it cannot be read.
+func (t *Thread) sinceBoot() boottime.Moment {
+	m, err := boottime.Now()
+	if err != nil {
+		t.log.Warn("a restart will take the node back to the good policy until its site is heard", "error", err)
+	}
+	return m
 }
 
 // Addr is where peers and operators call.
@@ -241,7 +257,12 @@
 
 // KeepPolicy implements Env.
 func (t *Thread) KeepPolicy(k Kept) error {
-	raw, err := json.Marshal(k)
+	stored := storedPolicies{Kept: k}
+	if k.LeaseEnd != 0 {
+		boot := t.sinceBoot()
+		stored.LeaseEnd = leaseEndToStore(k.LeaseEnd, t.loop.Now(), boot)
+	}
+	raw, err := json.Marshal(stored)
 	if err != nil {
 		return err
 	}
--- a/rehearsal/processes/rollouts_test.go
+++ b/rehearsal/processes/rollouts_test.go
@@ -290,10 +290,7 @@
 	r.RequireSound(Allowance{})
 }
 
-// A building is cut off, and half a lease later the node of it that goes by a trial is started again. docs/operate/policies.md has it that a
-// trial lapses a lease after the top was heard last. The process begins a whole lease of its own at its start instead
-// (rollout.NewHolder), as its store does not have when the top was heard: "b1, cut off since 27.729s, goes by a trial with a lease of 2s"
-// up to 30.8 s, in storm 25 with seats that change, where b1 was upgraded at 28.7 s; the former process had gone back at 29.7 s.
+// TestATrialLapsesInTimeThoughItsNodeStartsAgain: a lease counts from when the top was heard, not from the start of a process.
 func TestATrialLapsesInTimeThoughItsNodeStartsAgain(t *testing.T) {
 	const lease = 8 * time.Second
 	r := onTrial(t, Plan{Sites: twoBuildings()}, func(f *sitepb.File) { f.Rollout.LeaseS = uint32(lease / time.Second) })
@@ -312,6 +309,30 @@
 	r.RequireSound(Allowance{})
 }
 
+// TestAStartPastTheLeaseHaltsNothing: the node goes by the good policy from its first moment, takes the trial again once the top is heard, and
+// the stage waits.
+func TestAStartPastTheLeaseHaltsNothing(t *testing.T) {
+	const lease = 8 * time.Second
+	r := onTrial(t, Plan{Sites: twoBuildings()}, func(f *sitepb.File) { f.Rollout.LeaseS = uint32(lease / time.Second) })
+	first := r.start(harmless, TrialAim)
+	require.Contains(t, buildingNodes, first, "where most clients come")
+	r.Node(first).Kill()
+	r.Part(false, buildingNodes...)
+	cut := span{from: r.Now()}
+	r.awaitPast(cut.from+lease, "p0")
+	r.Node(first).Restart(Kept)
+	r.AwaitAim(GoodAim, first)
+	assert.Empty(t, r.Under(TrialAim, first, cut.from+lease))
+	r.Heal()
+	r.AwaitAim(TrialAim, first)
+	p := r.look.Rollout("p1")
+	assert.Equal(t, []string{"running", "one-node", ""}, []string{p.Phase, p.Stage, p.Cause})
+	assert.Len(t, p.Log, 1, "it was started, and nothing else")
+	r.do("HaltPolicy", "p1", nil)
+	r.awaitHalted("operator")
+	r.RequireSound(Allowance{})
+}
+
 func TestNoStageIsSkippedWhenLeadersOfTheTopAreKilled(t *testing.T) {
 	r := onTrial(t, Plan{Sites: []Site{{Name: "p", Level: sitepb.Level_PROVINCE, Nodes: []string{"p0", "p1", "p2"}},
 		{Name: "b", Parent: "p", Level: sitepb.Level_BUILDING, Nodes: []string{"b0", "b1", "b2"}}}}, nil)
--- a/rehearsal/province/node.go
+++ b/rehearsal/province/node.go
@@ -61,7 +61,6 @@
 	n.run = w.rng.Uint64()
 	n.up, n.paused, n.late, n.led, n.asked = true, false, nil, false, 0
 	n.taken, n.goes = rights.Verdict{All: true}, control.Policy{}
-	n.treated.started = w.now
 	n.saved.Life = n.life
 	if w.Plain {
 		n.repeat(0, n.listen)
--- a/rehearsal/province/policies.go
+++ b/rehearsal/province/policies.go
@@ -36,7 +36,6 @@
 // treated is what is known of a node for the first promise.
 type treated struct {
 	assigned time.Duration // when the top last had it go by a trial, as its log says
-	started  time.Duration
 	awake    time.Duration // since when it is not stopped
 }
 
@@ -160,7 +159,10 @@
 		if top.Plan().Assigned(n.name).Trial {
 			k.assigned = w.now
 		}
-		if !n.up || n.paused {
+		if !n.up {
+			continue
+		}
+		if n.paused {
 			k.awake = w.now
 			continue
 		}
@@ -168,8 +170,8 @@
 			continue
 		}
 		w.tally.Tried++
-		if since := w.now - max(k.assigned, k.started, k.awake); since > stages.Lease+stages.Lease/50+slack {
-			w.broken(fmt.Sprintf("%s goes by a trial %v after the top had it do so, or it started", n.name, since))
+		if since := w.now - max(k.assigned, k.awake); since > stages.Lease+stages.Lease/50+slack {
+			w.broken(fmt.Sprintf("%s goes by a trial %v after the top had it do so", n.name, since))
 		}
 	}
 }
--- a/rehearsal/rolloutsim/run.go
+++ b/rehearsal/rolloutsim/run.go
@@ -204,7 +204,7 @@
 	}
 	for _, h := range s.w.hosts {
 		n := &node{host: h, stored: rollout.Stored{Good: s.seats[0].Plan().Good()}, teller: rollout.NewTeller(h.name, s.w.site[h.site])}
-		n.holder = rollout.NewHolder(n.stored, o.Limits.Crashes, o.Limits.Lease, 0)
+		n.holder = rollout.NewHolder(n.stored, o.Limits.Crashes, 0, 0)
 		s.nodes = append(s.nodes, n)
 	}
 	s.check = newCheck(s)
@@ -377,7 +377,7 @@
 	if work {
 		out = 1
 	}
-	n.teller.Tick(s.now, s.sites[n.site].doc.Slice, n.holder.Seen(n.name), n.stored.Starts, out, work && !s.plant.deafToWork)
+	n.teller.Tick(s.now, s.sites[n.site].doc.Slice, n.holder.Seen(n.name), n.holder.Starts(), out, work && !s.plant.deafToWork)
 }
 
 // fire lets a guard fire at a node now.
@@ -444,7 +444,7 @@
 			if s.plant.forgetStarts {
 				stored.Starts = 0
 			}
-			n.holder = rollout.NewHolder(stored, s.o.Limits.Crashes, s.o.Limits.Lease, s.now)
+			n.holder = rollout.NewHolder(stored, s.o.Limits.Crashes, n.holder.StoredUntil(), s.now)
 			n.stored = n.holder.Stored()
 			n.teller = rollout.NewTeller(n.name, s.w.site[n.site])
 			s.check.fired = s.now
