council: what a leader heard of a seat does not go with the leader's process

Cause, in virtual time: followers do not talk to each other, so that the leader alone hears what a follower acknowledges, and its Register is soft.

Change: a leader, and whoever knows of no leader, tells with a claim what it remembers of a third seat, each in its turn, where it has changed (Claim.Of, 16 claims apart otherwise); Hear holds a new process against both. A seat's log tells of another seat's process that it hears first how far that is and how far it remembers it: the field that told the two causes apart. Ruled out: a durable register (a write with each acknowledgement); the log's last term alone.

--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -116,6 +117,10 @@
 	for _, s := range k.Seats {
 		h.Claim.Seats = append(h.Claim.Seats, uint64(s))
 	}
+	if o := k.Of; o.Seat != 0 {
+		h.Claim.Of = &peerpb.Remembered{Seat: uint64(o.Seat), Boot: o.Boot, Run: o.Run, Term: o.Term, Vote: uint64(o.Vote), Acked: o.Acked,
+			Committed: o.Committed}
+	}
 	return h
 }
 
@@ -143,9 +148,13 @@
 		for _, s := range k.Seats {
 			claim.Seats = append(claim.Seats, council.SeatID(s))
 		}
+		if of := k.Of; of != nil {
+			claim.Of = council.Remembered{Seat: council.SeatID(of.Seat), Boot: of.Boot, Run: of.Run, Term: of.Term,
+				Vote: council.SeatID(of.Vote), Acked: of.Acked, Committed: of.Committed}
+		}
 		o.seats = claim.Seats
 		if c.seat != nil {
-			if err := c.seat.Hear(claim); err != nil {
+			if err := c.hearClaim(h.Node, claim); err != nil {
 				return err
 			}
 			c.heardOut(claim)
@@ -157,6 +166,20 @@
 	return nil
 }
 
+// hearClaim takes in what another seat says of itself. Of a process that was not heard before the log tells how far its store is, and how far
+// this seat remembers it to have been: one with less is refused.
+func (c *Core) hearClaim(node string, claim council.Claim) error {
+	was := c.seat.Remembered(claim.Seat)
+	if err := c.seat.Hear(claim); err != nil {
+		return err
+	}
+	if was.Run != claim.Run {
+		c.env.Tell("hears a process of a seat for the first time", "seat", node, "boot", claim.Boot, "term", claim.Term, "last", claim.Last,
+			"committed", claim.Commit, "remembered", fmt.Sprintf("boot=%d term=%d acked=%d committed=%d", was.Boot, was.Term, was.Acked, was.Committed))
+	}
+	return nil
+}
+
 // counts says whether a node that the site file gives no seat, and that no name in the log is known of, has one all the same: this
 // store's council counts it, or this store has nothing yet, and one that is to go may lead and tell what was agreed on.
 func (c *Core) counts(node string, id council.SeatID, founded bool) bool {
