--- a/rehearsal/processes/faults.go
+++ b/rehearsal/processes/faults.go
@@ -49,7 +49,7 @@
 	A, B      string
 	Way       Way
 	N         int
-	Shut      bool // of KillOlder: no client reaches A from then on, until an Operator has put its store aside
+	Shut      bool // of KillOlder, where the copy lacks something: no client reaches A from then on, until an Operator has put its store aside
 
 	Begin, End func() // of Other
 }
@@ -132,6 +132,7 @@
 	older := make(map[string]string)
 	for _, f := range faults {
 		if f.Kind == KillOlder && older[f.A] == "" {
+			w.logStanding("is copied", f.A)
 			older[f.A] = w.Node(f.A).CopyStore()
 		}
 		events = append(events, event{f.At, func() {
@@ -178,6 +179,9 @@
 	case DiscoveryDown:
 		w.Discovery.Down(true)
 	case Kill, KillOlder, KillEmpty, KillTorn:
+		if f.Kind == KillOlder {
+			w.logStanding("is killed, and comes back with the copy", f.A)
+		}
 		w.hand(f.A, true, w.Node(f.A).Kill)
 	case Pause:
 		w.hand(f.A, true, w.Node(f.A).Pause)
@@ -190,6 +194,14 @@
 	}
 }
 
+// logStanding logs how far a node is when something happens to its store, as it and the others of its site tell.
+func (w *World) logStanding(what, node string) {
+	for _, n := range w.siteOf[node].Nodes {
+		own, _, _ := strings.Cut(w.Node(n).standing(), "\n")
+		w.t.Logf("%s: the store of %s %s: %s", w.Now().Round(time.Millisecond), node, what, own)
+	}
+}
+
 // reseat has two nodes of a site change their places in its files, and so a seat, and has all nodes of it read them that can. A node
 // that is down reads the file at its start.
 func (w *World) reseat(a, b string) {
@@ -298,7 +310,7 @@
 			if losesStore(f.Kind) {
 				delete(w.newSeat, f.A) // one that it had, with another store
 			}
-			if f.Shut {
+			if f.Shut && w.Node(f.A).lacks(older) {
 				w.shut[f.A] = true
 				w.Front(f.A).Refuse()
 				w.Front(f.A).Reset()
--- a/rehearsal/processes/stores_test.go
+++ b/rehearsal/processes/stores_test.go
@@ -179,3 +179,24 @@
 	work(w, c, "t1", "h1", others(w, seat)...)
 	madeGood(w, c, seat)
 }
+
+// TestACopyThatLacksNothingIsTheStore: of a seat that was cut off since before the copy nobody heard any more, and nobody refuses it. It is let
+// in, and goes by the council's word.
+func TestACopyThatLacksNothingIsTheStore(t *testing.T) {
+	t.Parallel()
+	w, c := begun(t, building(nil))
+	seat := follower(w)
+	n := w.Node(seat)
+	w.Part(false, seat)
+	w.Await("its right has run out", func() bool { return strings.Contains(n.standing(), "right=0ms") })
+	older := n.CopyStore()
+	served(c, others(w, seat)...)
+	n.Kill()
+	assert.False(t, n.lacks(older))
+	n.Restart(Older(older))
+	w.Heal()
+	served(c, seat)
+	work(w, c, "t1", "h1", w.Names()...)
+	assert.Empty(t, n.logged("nothing is sent"))
+	w.RequireSound(two)
+}
