control: a seat that is behind hears a leader that was taken in since

The entry that took b1 in is b1's to send: "b1 has no seat in its site's council", again and again.

Change: a seat is heard that tells of a council, agreed on further than this seat's log, in which both count. Whether it says so truly is the log's to decide, as with any message of raft; another council's is refused by its foundings, as before.

TestASeatThatWasTakenInSinceIsHeard: refused before the change, and still where this seat's log says more, or where either does not count.

--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -30,6 +30,7 @@
 	names          []string // nodes with a seat by its site file, sorted
 	foundings      []uint64 // of its council
 	lastTerm, last uint64   // of its log
+	committed      uint64   // that it knew to be agreed on
 }
 
 // sit takes this node's seat, as far as its store tells of one: also where the site file gives the node none any more, since the council
@@ -129,30 +130,29 @@
 	if h == nil || h.Node == c.Site.Node {
 		return &NoSeatError{Node: h.GetNode()}
 	}
-	id := council.SeatOf(c.Site.Own.Name+"/"+h.Node, h.Life)
-	if !slices.Contains(c.circle, h.Node) && !c.counts(h.Node, id, h.Founded) {
+	o := &other{id: council.SeatOf(c.Site.Own.Name+"/"+h.Node, h.Life), life: h.Life, founded: h.Founded, at: c.ticks,
+		names: h.Seats, foundings: h.Foundings, lastTerm: h.GetClaim().GetLastTerm(), last: h.GetClaim().GetLast(),
+		committed: h.GetClaim().GetCommit()}
+	for _, s := range h.GetClaim().GetSeats() {
+		o.seats = append(o.seats, council.SeatID(s))
+	}
+	if !slices.Contains(c.circle, h.Node) && !c.counts(h.Node, o) {
 		return &NoSeatError{Node: h.Node}
 	}
 	if err := c.related(h); err != nil {
 		return err
 	}
-	o := &other{id: id, life: h.Life, founded: h.Founded, at: c.ticks,
-		names: h.Seats, foundings: h.Foundings, lastTerm: h.GetClaim().GetLastTerm(), last: h.GetClaim().GetLast()}
 	if k := h.Claim; h.Founded && k != nil {
 		if o.id != council.SeatID(k.Seat) {
 			return &NoSeatError{Node: h.Node}
 		}
 		claim := council.Claim{Seat: o.id, Boot: k.Boot, Run: k.Run, Sent: k.Sent, Echo: k.Echo, EchoRun: k.EchoRun,
 			Term: k.Term, Vote: council.SeatID(k.Vote), LastTerm: k.LastTerm, Last: k.Last, Commit: k.Commit,
-			Leader: council.SeatID(k.Leader), Waiting: k.Waiting}
-		for _, s := range k.Seats {
-			claim.Seats = append(claim.Seats, council.SeatID(s))
-		}
+			Leader: council.SeatID(k.Leader), Waiting: k.Waiting, Seats: o.seats}
 		if of := k.Of; of != nil {
 			claim.Of = council.Remembered{Seat: council.SeatID(of.Seat), Boot: of.Boot, Run: of.Run, Term: of.Term,
 				Vote: council.SeatID(of.Vote), Acked: of.Acked, Committed: of.Committed}
 		}
-		o.seats = claim.Seats
 		if c.seat != nil {
 			if err := c.hearClaim(h.Node, claim); err != nil {
 				return err
@@ -181,12 +181,18 @@
 }
 
 // counts says whether a node that the site file gives no seat, and that no name in the log is known of, has one all the same: this
-// store's council counts it, or this store has nothing yet, and one that is to go may lead and tell what was agreed on.
-func (c *Core) counts(node string, id council.SeatID, founded bool) bool {
-	if !founded || !slices.Contains(c.Site.Members, node) {
+// store's council counts it, or this store has nothing yet, and one that is to go may lead and tell what was agreed on; or it was taken in
+// since, and may be the only one that this seat can hear that from.
+func (c *Core) counts(node string, o *other) bool {
+	if !o.founded || !slices.Contains(c.Site.Members, node) {
 		return false
 	}
-	return c.seat == nil || !c.hasLog() || slices.Contains(c.seat.Status().Seats, id)
+	return c.seat == nil || !c.hasLog() || slices.Contains(c.seat.Status().Seats, o.id) || c.takenInSince(o)
+}
+
+// takenInSince says whether another seat tells of a council in which both count, as agreed on further than this seat's log.
+func (c *Core) takenInSince(o *other) bool {
+	return o.committed > c.seat.Status().Committed && slices.Contains(o.seats, o.id) && slices.Contains(o.seats, c.self)
 }
 
 // greet says hello to all other seats, while some of them are not known, this seat waits for their word or nobody leads: two
--- a/internal/control/seats.go
+++ b/internal/control/seats.go
@@ -86,7 +86,7 @@
 func (c *Core) known() {
 	c.circle = slices.Concat(c.Site.Seats, slices.Collect(maps.Values(c.seating.Names)))
 	for name, o := range c.others {
-		if c.counts(name, o.id, o.founded) {
+		if c.counts(name, o) {
 			c.circle = append(c.circle, name)
 		}
 	}
--- a/internal/control/seats_test.go
+++ b/internal/control/seats_test.go
@@ -155,3 +155,20 @@
 		})
 	}
 }
+
+// TestASeatThatWasTakenInSinceIsHeard by one that is behind and whose site file does not name it: it may lead, and nobody else tells of it.
+func TestASeatThatWasTakenInSinceIsHeard(t *testing.T) {
+	a := newAlone(t)
+	id, self := council.SeatOf("s/n2", 5), uint64(a.core.self)
+	committed := a.core.seat.Status().Committed
+	refused := func(commit uint64, seats ...uint64) string {
+		return a.core.Raft(a.now, &peerpb.RaftRequest{Hello: &peerpb.Hello{Node: "n2", Life: 5, Founded: true,
+			Foundings: a.core.seating.Foundings, Claim: &peerpb.Claim{Seat: uint64(id), Boot: 1, Run: 2, Sent: commit, Term: 1, Last: commit,
+				Commit: commit, Seats: seats}}}).Refused
+	}
+	assert.Contains(t, refused(committed, uint64(id), self), "has no seat", "this seat's own log says more")
+	assert.Contains(t, refused(committed+1, uint64(id)), "has no seat", "its council does not count this one")
+	assert.Contains(t, refused(committed+1, self), "has no seat", "nor does it count itself")
+	assert.Empty(t, refused(committed+1, uint64(id), self))
+	assert.Contains(t, a.core.circle, "n2", "and it is answered")
+}
