control: tell why a turn that is asked for waits, and that a seat refuses its leader

Change: waits_for of a turn that is asked for has the book's own reason (no room, another home out, too many failed), room that policies take, or the nodes whose groups are not known. RaftReplied counts a seat as answering only where it does not refuse.

go test ./internal/control: passed.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -277,7 +277,9 @@
 	}
 	err := c.hear(r.Hello)
 	if err == nil {
-		c.reach.answered[r.Hello.Node] = c.ticks
+		if r.Refused == "" {
+			c.reach.answered[r.Hello.Node] = c.ticks
+		}
 		c.had(now, r)
 	}
 	switch {
@@ -876,19 +878,38 @@
 // Blockers says what stands in a turn's way, in words.
 func (c *Core) Blockers(now time.Duration, t turns.Turn) (all []string) {
 	for _, b := range c.HeldUp(now, t) {
+		if b.Node == "" {
+			all = append(all, b.Why)
+			continue
+		}
 		all = append(all, b.Node+": "+b.Why)
 	}
 	return all
 }
 
-// HeldUp returns which nodes a turn waits for, as far as this node leads: in Preparing, and where it is asked for beside another.
+// HeldUp returns which nodes a turn waits for, as far as this node leads: in Preparing, and where it is asked for, also what else it waits for.
 func (c *Core) HeldUp(now time.Duration, t turns.Turn) []turns.Blocker {
 	switch {
 	case !c.leading:
 		return nil
 	case t.Phase == turns.Preparing:
 		return c.book.Clear(t.ID, c.views(now))
-	case t.Phase == turns.Asked && !c.book.Alone(t.ID):
+	case t.Phase == turns.Asked:
+		return c.keptBack(now, t)
+	}
+	return nil
+}
+
+// keptBack returns why a turn that is asked for is not prepared.
+func (c *Core) keptBack(now time.Duration, t turns.Turn) []turns.Blocker {
+	cmd := turns.Command{At: max(c.stamp, now), Prepare: &turns.Ref{ID: t.ID}}
+	if err := c.book.Check(cmd); err != nil {
+		return []turns.Blocker{{Why: err.Error()}}
+	}
+	if !c.keepsRoom(now, cmd) {
+		return []turns.Blocker{{Why: "work and policies under way disturb as much as the site may bear"}}
+	}
+	if !c.book.Alone(t.ID) {
 		return c.unknownHomes(now)
 	}
 	return nil
