processes: a copy that lacks no promise is opened to clients once its leader has answered

Cause: no seat hears of a node's right; a term in which a seat voted for nobody, and that an entry which it has is agreed on, it may have told nobody. Nothing of that is refused, or need be: Register refuses by votes and by the log's end. What such a copy may still do, send by an older horizon, ends with its leader's first answer (design/affairs.md).

Change: where the copy has the whole log and the vote, clients are kept away until the node has a right of its present process, as it tells itself; a refusal still puts its store aside. Where it lacks an entry or a vote all is as before.

--- a/rehearsal/processes/faults.go
+++ b/rehearsal/processes/faults.go
@@ -49,7 +49,9 @@
 	A, B      string
 	Way       Way
 	N         int
-	Shut      bool // of KillOlder, where the copy lacks something: no client reaches A from then on, until an Operator has put its store aside
+	// Shut, of KillOlder: no client reaches A from then on, where the copy lacks something, until an Operator has put its store aside; where
+	// it lacks no promise of A's, until its leader has answered it.
+	Shut bool
 
 	Begin, End func() // of Other
 }
@@ -310,8 +312,13 @@
 			if losesStore(f.Kind) {
 				delete(w.newSeat, f.A) // one that it had, with another store
 			}
-			if f.Shut && w.Node(f.A).lacks(older) {
+			lacks := lacksNothing
+			if f.Shut {
+				lacks = w.Node(f.A).lacks(older)
+			}
+			if lacks != lacksNothing {
 				w.shut[f.A] = true
+				w.untilRight[f.A] = lacks == lacksWord
 				w.Front(f.A).Refuse()
 				w.Front(f.A).Reset()
 			}
--- a/rehearsal/processes/storm.go
+++ b/rehearsal/processes/storm.go
@@ -58,13 +58,13 @@
 			o.Did = append(o.Did, fmt.Sprintf("%s has an empty store now: %s", n.Name, text))
 			n.Restart(Empty)
 			delete(o.w.newSeat, n.Name)
-			if o.w.shut[n.Name] {
-				delete(o.w.shut, n.Name)
-				o.w.Front(n.Name).Heal()
-			}
+			o.open(n)
 			return false
 		}
 	}
+	if o.w.untilRight[n.Name] && n.hasRight() {
+		o.open(n)
+	}
 	if !n.Runs() {
 		o.w.violate("%s has ended by itself", n.Name)
 		n.Start()
@@ -73,6 +73,15 @@
 	return len(n.logged("has to take it in")) > 0 && !o.w.newSeat[n.Name] // which comes by the site file: the line says so
 }
 
+// open lets clients reach a node again.
+func (o *Operator) open(n *Node) {
+	if o.w.shut[n.Name] {
+		delete(o.w.shut, n.Name)
+		delete(o.w.untilRight, n.Name)
+		o.w.Front(n.Name).Heal()
+	}
+}
+
 // takeIn has the council take a node's new seat in, unless it has since its process began.
 func (o *Operator) takeIn(name string) {
 	o.w.hands.Lock()
--- a/rehearsal/processes/world.go
+++ b/rehearsal/processes/world.go
@@ -83,10 +83,12 @@
 
 	asked sync.Map // queries of clients by id, to when they were sent
 
-	hands   sync.Mutex      // of who starts and ends processes while a plan of faults is played
-	down    map[string]bool // nodes that a fault has stopped
-	shut    map[string]bool // nodes that no client reaches: see Fault.Shut
-	newSeat map[string]bool // nodes whose seat is new by the site file: see Reseat
+	hands sync.Mutex      // of who starts and ends processes while a plan of faults is played
+	down  map[string]bool // nodes that a fault has stopped
+	shut  map[string]bool // nodes that no client reaches: see Fault.Shut
+	// untilRight are those of them that are not refused: they are reached once their leader has answered.
+	untilRight map[string]bool
+	newSeat    map[string]bool // nodes whose seat is new by the site file: see Reseat
 
 	upgrades sync.WaitGroup // that come to their end
 
@@ -107,7 +109,8 @@
 	w := &World{clock: newClock(), Plan: p, t: t, ctx: ctx, over: ctx.Done(), nodes: make(map[string]*Node),
 		siteOf: make(map[string]*Site), peers: make(map[[2]string]*Link), fronts: make(map[string]*Link),
 		discovery: make(map[string]*Link), down: make(map[string]bool), shut: make(map[string]bool),
-		newSeat: make(map[string]bool)}
+		untilRight: make(map[string]bool),
+		newSeat:    make(map[string]bool)}
 	awaitStamps(w)
 	w.History = &History{w: w}
 	w.Discovery = newDiscovery(w)
