--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,11 @@
 	go test -count 1 -timeout 120m ./rehearsal/processes -run 'UnderFaultsFromASeed' -v \
 		-args -storms $(SEEDS) -storm $(FIRST) -councils $(SEEDS) -council $(FIRST)
 
+# The bugs that the soak is to see, each planted in a clone of the last commit.
+.PHONY: soak-plants
+soak-plants:
+	go test -count 1 -timeout 60m ./rehearsal/soak -run TestPlants -v -args -plants
+
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt-ed: $$unformatted" >&2; exit 1; fi
 	go vet ./...
