--- a/rehearsal/soak/plants_test.go
+++ b/rehearsal/soak/plants_test.go
@@ -26,7 +26,7 @@
 	{"every request is refused", "balance/balance.go", "if left <= b.set.Tick || len(r.attempts) >= r.set.MaxAttempts {", "if left > 0 {",
 		"a part of the requests served"},
 	{"no request is tried again", "balance/balance.go", "len(r.attempts) >= r.set.MaxAttempts", "len(r.attempts) >= 1", triedAgain},
-	{"BUSY names too long a time", "balance/balance.go", "RetryAfter: r.set.MaxRetryAfter/2 +", "RetryAfter: 2*r.set.MaxRetryAfter +",
+	{"BUSY names too long a time", "internal/clientconn/acceptor.go", "min(fullRetry, set.MaxRetryAfter)", "2 * set.MaxRetryAfter",
 		"the time that BUSY names"},
 }
 
