--- a/review/standin/case.go
+++ b/review/standin/case.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -65,6 +67,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	code := NotRun
 	done := make(chan struct{})
 	go func() {
@@ -74,15 +78,25 @@
 			code = NotRun
 		}
 	}()
+	exit := NotRun
 	select {
 	case <-done:
+		exit = code
 	case <-time.After(limit):
 		record.Note("the case could not run: it took longer than %v", limit)
-		if platform != nil {
-			platform.End()
-		}
+		endPlatform()
+	case s := <-ended:
+		record.Note("the case could not run: it was ended by %v", s)
+		endPlatform()
+	}
+	os.Exit(exit)
+}
+
+// endPlatform ends the processes of a run that does not come to its end.
+func endPlatform() {
+	if platform != nil {
+		platform.End()
 	}
-	os.Exit(code)
 }
 
 // Trouble reports whether the disruption is played.
