--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"bufio"
--- a/review/standin2/discovery.go
+++ b/review/standin2/discovery.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"bufio"
@@ -51,6 +51,7 @@
 	changed chan struct{} // closed at the next change
 	tolds   []told
 	calls   int
+	slow    time.Duration // how long each answer takes besides
 }
 
 func newDiscovery(rec *recorder, name string, rev int64, targets []target) (*discovery, error) {
@@ -90,7 +91,7 @@
 func (d *discovery) shut() error {
 	d.rec.add("discovery %s takes no new connection", d.name)
 	d.ln.Close()
-	_, err := reserve(d.addr)
+	_, _, err := reserve(d.addr)
 	return err
 }
 
@@ -125,6 +126,14 @@
 	d.changed = make(chan struct{})
 }
 
+// delay makes each answer take longer from now on.
+func (d *discovery) delay(by time.Duration) {
+	d.rec.add("discovery %s takes %v for each answer", d.name, by)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slow = by
+}
+
 // toldOf returns when discovery first wrote that a host has a state, and whether it has.
 func (d *discovery) toldOf(uid, state string) (time.Time, bool) {
 	d.mu.Lock()
@@ -165,6 +174,10 @@
 			watch = true
 		}
 		hold, _ := strconv.Atoi(request.URL.Query().Get("hold_ms"))
+		d.mu.Lock()
+		slow := d.slow
+		d.mu.Unlock()
+		time.Sleep(slow)
 		l := d.answer(from, watch, time.Duration(hold)*time.Millisecond)
 		body, _ := json.Marshal(l)
 		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -1,7 +1,6 @@
-// Command review2 plays the cases of the second review: it starts the project's node with the command of the deploy file, and stands in
-// for hosts, discovery, the front and clients, as the users' pages describe them. Each case prints its verdict and ends with 1 if the rule
-// was broken, 0 if it held and 2 if the case could not run.
-package main
+// Package standin2 plays the cases of the second review: it starts the project's node with the command of the deploy file, and stands in
+// for hosts, discovery, the front and clients, as the users' pages describe them.
+package standin2
 
 import (
 	"fmt"
