Review cases 6, 8 and 9: three draining hosts in case 8, and the figures of case 6

Cause: the one draining host of case 8 is at times one that the node does not choose, and the rule then held by chance. Change: a quarter of the hosts drains, as in case 9, with one judge for both.

--- a/review/standin2/pushed.go
+++ b/review/standin2/pushed.go
@@ -1,7 +1,6 @@
 package standin2
 
 import (
-	"errors"
 	"fmt"
 	"path/filepath"
 	"syscall"
@@ -73,9 +72,5 @@
 	}
 	c.end()
 	// What the agent has counts as told from the first moment of the process.
-	var broken error
-	for _, h := range w.hosts[:draining] {
-		broken = errors.Join(broken, w.judgeDrain(h, began.Add(2*time.Second+slack)))
-	}
-	return broken
+	return w.judgeDrains(w.hosts[:draining], began.Add(2*time.Second+slack))
 }
--- a/review/standin2/reload.go
+++ b/review/standin2/reload.go
@@ -9,7 +9,7 @@
 func init() { cases["reload-class"] = reloadClass }
 
 // reloadClass: a new configuration names another address of discovery and adds a class that has no aim_stretch, a key which the wire page
-// says may be absent. The other classes have it. Then a host drains.
+// says may be absent. The other classes have it. Then a quarter of the hosts drains.
 func reloadClass(rec *recorder, folder string, trouble bool) error {
 	classes := usualClasses()
 	w, err := newWorld(rec, folder, 12, classes, "pass")
@@ -58,9 +58,11 @@
 	}
 	time.AfterFunc(1500*time.Millisecond, w.discovery.end)
 	time.Sleep(3 * time.Second)
-	drained := w.hosts[0]
-	drained.setDraining()
-	other.set(drained.name, "terminating")
+	drained := w.hosts[:len(w.hosts)/4]
+	for _, h := range drained {
+		h.setDraining()
+		other.set(h.name, "terminating")
+	}
 	changed := time.Now()
 	time.Sleep(20 * time.Second)
 	if !node.running() {
@@ -73,5 +75,5 @@
 	if later := changed.Add(6 * time.Second); later.After(limit) {
 		limit = later
 	}
-	return w.judgeDrain(drained, limit.Add(2*time.Second+slack))
+	return w.judgeDrains(drained, limit.Add(2*time.Second+slack))
 }
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -63,14 +63,21 @@
 	return n, last
 }
 
-// judgeDrain applies the rule on drains: nothing new to a host after the limit.
-func (w *world) judgeDrain(h *host, limit time.Time) error {
-	total := len(h.received())
-	n, last := w.sentAfter(h, limit)
-	w.rec.say("host %s: %d first lines in all, %d of them after the limit at %.3f s", h.name, total, n, w.rec.since(limit).Seconds())
-	if n > 0 {
-		return fmt.Errorf("%w: host %s was sent %d first lines after the limit, the last one %.3f s after it", errBroken, h.name, n,
-			last.Sub(limit).Seconds())
+// judgeDrains applies the rule on drains: nothing new to any of these hosts after the limit.
+func (w *world) judgeDrains(hosts []*host, limit time.Time) error {
+	late := 0
+	var latest time.Time
+	for _, h := range hosts {
+		n, last := w.sentAfter(h, limit)
+		w.rec.say("host %s: %d first lines in all, %d of them after the limit at %.3f s", h.name, len(h.received()), n,
+			w.rec.since(limit).Seconds())
+		if late += n; last.After(latest) {
+			latest = last
+		}
+	}
+	if late > 0 {
+		return fmt.Errorf("%w: draining hosts were sent %d first lines after the limit, the last one %.3f s after it", errBroken, late,
+			latest.Sub(limit).Seconds())
 	}
 	return nil
 }
