An id that is open in one process of a node is refused by the others

Cause: clientconn.Acceptor.openIDs (acceptor.go, check and Adopt) knew the ids of its own process only. It was a set, too: Adopt entered an id that may be open already, and the end of either connection freed it for the other; Detach freed an id on its way. Ruled out: the shared state file (written whole under a lock, read every 20 ms, ids come by hundreds a second); a stream of ids (two processes that read one id at the same time both serve it, a killed process's ids have to be forgotten); class or host. Change: handover.IDLocks locks a byte of the lock file for each open id, so that the kernel decides, and frees the ids of a process that ends in any way; clientconn.openIDs counts uses.

--- a/cmd/lichenhitch/node_test.go
+++ b/cmd/lichenhitch/node_test.go
@@ -214,6 +214,7 @@
 	*exec.Cmd
 	t            *testing.T
 	path, listen string
+	sharedDir    string // TMPDIR
 	log          *bufio.Scanner
 }
 
@@ -224,11 +225,11 @@
 
 func startProgramWith(t *testing.T, discovery, known, settingsText string) *program {
 	t.Helper()
-	p := &program{t: t, path: filepath.Join(t.TempDir(), "config.json")}
+	p := &program{t: t, path: filepath.Join(t.TempDir(), "config.json"), sharedDir: t.TempDir()}
 	p.writeSettings(discovery, known, settingsText)
 	p.Cmd = exec.Command(os.Args[0])
 	p.Env = append(os.Environ(), runAsProgramEnv+"=1", "GW_CONFIG="+p.path, "GW_DISCOVERY="+discovery, "GW_LISTEN=127.0.0.1:0",
-		"TMPDIR="+t.TempDir())
+		"TMPDIR="+p.sharedDir)
 	out, err := p.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, p.Start())
--- a/cmd/lichenhitch/sharedstate.go
+++ b/cmd/lichenhitch/sharedstate.go
@@ -32,6 +32,7 @@
 		return
 	}
 	n.store, n.sharedState, n.processNumber = store, shared, store.Number()
+	n.acceptor.SetIDLocks(store.IDLocks())
 	if shared.Draining || len(shared.Bans) > 0 {
 		n.log.Info("carried over", "drained", shared.Draining, "hosts out", len(shared.Bans))
 	}
--- a/cmd/lichenhitch/sharedstate_test.go
+++ b/cmd/lichenhitch/sharedstate_test.go
@@ -245,3 +245,45 @@
 	changeByOperator(t, next.operatorAPI.Addr(), "POST /v1/node/drain")
 	next.loop.Call(func() { assert.Greater(t, next.service.MovingSince, began, "another drain begins anew") })
 }
+
+// During an upgrade, a client that came to the new process with the id of a request that waits in the old one was served. The old
+// process is one of its own here, so that it can be killed: its ids are free then.
+func TestIDThatIsOpenInTheOldProcessIsRefusedByTheNewOne(t *testing.T) {
+	const established, waiting = "e1", "a1"
+	h := newHost(t, "a", func(line string, c net.Conn, r *bufio.Reader) {
+		if strings.Contains(line, "x=hang") {
+			hang(line, c, r)
+			return
+		}
+		echo(line, c, r)
+	})
+	d := newDiscovery(t)
+	known := list(1, true, targetsOf(h)...)
+	// Of such a class the first attempt lasts as long as the client waits.
+	onceOnly := strings.Replace(testSettings, "read_like", "non_idempotent", 1)
+	old := startProgramWith(t, d.Addr().String(), known, onceOnly)
+	owner, waits := dialAt(t, old.listen), dialAt(t, old.listen)
+	openAs(owner, established, "")
+	require.Equal(t, "UP r1", owner.receive())
+	waits.send("OPEN " + waiting + " 7f3a c=chat,d=86400000,x=hang")
+	require.Eventually(t, func() bool { return len(h.firstLines()) == 2 }, testTimeout, time.Millisecond)
+
+	cfg := testConfig(t, d, known)
+	cfg.Listen, cfg.SharedDir = old.listen, old.sharedDir
+	next := startConfig(t, cfg)
+	awaitReady(t, next)
+	for _, id := range []string{waiting, established} {
+		other := dial(t, next)
+		openAs(other, id, "")
+		assert.Equal(t, "ERR the id is in use", other.receive())
+		other.assertClosed()
+	}
+	owner.send("M 1")
+	require.Equal(t, "M 1", owner.receive(), "the owner is not affected")
+
+	require.NoError(t, old.Process.Kill())
+	_ = old.Wait()
+	later := dial(t, next)
+	openAs(later, waiting, "")
+	assert.Equal(t, "UP r1", later.receive(), "nobody holds the id any more")
+}
--- a/internal/clientconn/acceptor.go
+++ b/internal/clientconn/acceptor.go
@@ -34,8 +34,8 @@
 	tenants    map[string]bool // nil if the settings list none
 	retryAfter time.Duration   // when a client that is throttled because of too many connections may try again
 	maxConns   int
-	openIDs    map[string]bool // of the requests that are open
-	rejected   map[error]int   // connections rejected since the last log line, by reason
+	openIDs    openIDs
+	rejected   map[error]int // connections rejected since the last log line, by reason
 	logPending bool
 	serving    func() bool // whether the node accepts clients
 	awaiting   list.List   // clients that have not sent a request yet, in the order of their arrival
@@ -47,7 +47,7 @@
 // the answer to PING; a client that sends a request is served in any case.
 func New(log *slog.Logger, loop *evloop.Loop, core *query.Core, set balance.Settings, maxConns int,
 	serving func() bool) *Acceptor {
-	a := &Acceptor{serving: serving, log: log, loop: loop, core: core, maxConns: maxConns, openIDs: map[string]bool{},
+	a := &Acceptor{serving: serving, log: log, loop: loop, core: core, maxConns: maxConns, openIDs: openIDs{counts: map[string]int{}},
 		rejected: map[error]int{}}
 	a.evictionMessage = func() []byte { return line.AppendBusy(nil, a.retryAfter) }
 	a.ApplySettings(set)
@@ -68,6 +68,10 @@
 	}
 }
 
+// SetIDLocks sets where ids are marked as open for the other processes of the node. It must be called before the first
+// connection is accepted.
+func (a *Acceptor) SetIDLocks(locks IDLocks) { a.openIDs.locks = locks }
+
 // SetMaxConns changes the number of connections from which on requests are throttled.
 func (a *Acceptor) SetMaxConns(maxConns int) { a.maxConns = maxConns }
 
@@ -97,7 +101,7 @@
 // Adopt creates a Conn for a connection that another process of the node established under the given id. Resume
 // must follow.
 func (a *Acceptor) Adopt(conn *evloop.Conn, id string) *Conn {
-	a.openIDs[id] = true
+	a.openIDs.adopt(id)
 	return &Conn{acceptor: a, conn: conn, open: line.Open{ID: id}, established: true}
 }
 
@@ -130,8 +134,6 @@
 		return errClass
 	case a.tenants != nil && o.Tenant != "" && !a.tenants[o.Tenant]:
 		return errTenant
-	case a.openIDs[o.ID]:
-		return errIDInUse // the request that has this id continues
 	}
 	return nil
 }
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -49,7 +49,10 @@
 // Detach removes the connection from the loop, to hand it to another process; see evloop.Conn.Detach.
 func (c *Conn) Detach() (fd int, unread []byte, ok bool) {
 	if fd, unread, ok = c.conn.Detach(); ok {
+		id := c.open.ID
+		c.open.ID = "" // still open until the other process has taken it
 		c.markEnded()
+		c.acceptor.loop.After(idTransitTime, func() { c.acceptor.openIDs.release(id) })
 	}
 	return fd, unread, ok
 }
@@ -110,6 +113,10 @@
 		c.Throttle(c.acceptor.retryAfter)
 		return
 	}
+	if !c.acceptor.openIDs.claim(open.ID) {
+		c.Reject(errIDInUse) // the request that has this id continues
+		return
+	}
 	if !open.HasWait {
 		open.Wait = c.acceptor.classes[open.Class].Deadline
 	}
@@ -117,7 +124,6 @@
 	c.stopAwaiting()
 	c.conn.SetEvictable(false)
 	c.open = open
-	c.acceptor.openIDs[open.ID] = true
 	c.request = c.acceptor.core.Arrive(c, balance.Arrival{Class: open.Class, Tenant: open.Tenant, Key: open.Key,
 		Group: open.Group, Load: open.Load, MidFlow: open.MidFlow, Returning: open.Returning, Repeat: open.Retry},
 		open.At, open.Wait)
@@ -159,7 +165,7 @@
 	c.requestTimer.Stop()
 	c.stopAwaiting()
 	if c.open.ID != "" {
-		delete(c.acceptor.openIDs, c.open.ID)
+		c.acceptor.openIDs.release(c.open.ID)
 	}
 }
 
