evloop: a write that fails before Resume does not end the process

Cause: Conn.onClose (close.go) of a paused connection kept the error of a failed write in pausedErr and set conn to nil; Conn.Resume (conn.go) called onClose again, isWriteError was true again, and readUnread used nil. Ruled out: the hold-ups of the case (the test has none); resuming the host before the client (its lines meet a paused client). Change: Resume goes on with finishClose, so that the end is handled once. A paused connection that its handler closed ends at once, and readUnread of one that ended reads nothing: the timer of LingeringClose and an eviction used nil as well (no path reaches these).

--- a/internal/evloop/close.go
+++ b/internal/evloop/close.go
@@ -152,10 +152,15 @@
 	if isWriteError(err) && k.lingerTimer == nil {
 		k.readUnread()
 	}
-	if k.paused {
-		k.pausedErr, k.conn = err, nil
+	if k.paused && !k.noCallbacks {
+		k.pausedErr, k.conn = err, nil // Resume calls finishClose
 		return
 	}
+	k.finishClose(err)
+}
+
+// finishClose ends a connection that gnet has closed, and notifies its handler.
+func (k *Conn) finishClose(err error) {
 	k.release()
 	k.loop.Defer(func() {
 		k.deliverUnread()
@@ -171,8 +176,11 @@
 }
 
 // readUnread reads the input that the kernel has buffered, bypassing gnet, and returns the number of bytes. They are kept
-// for the handler.
+// for the handler. A connection that ended while paused has none left.
 func (k *Conn) readUnread() int {
+	if k.conn == nil {
+		return 0
+	}
 	total := 0
 	for total < readUnreadMax {
 		n, err := unix.Read(k.conn.Fd(), k.loop.scratch[:])
--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -29,7 +29,7 @@
 // Conn is a connection on the loop, from its dial or its accept on.
 type Conn struct {
 	loop          *Loop
-	conn          gnet.Conn // nil until the connection is established
+	conn          gnet.Conn // nil until the connection is established, and after it ended while paused
 	handler       Handler
 	accept        func(*Conn) Handler // set for accepted connections
 	dial          *pendingDial        // set while the connection is being established
@@ -41,7 +41,7 @@
 	lingerTimer   *Timer        // set after LingeringClose
 	lingerDropped int           // bytes discarded after LingeringClose
 	paused        bool          // adopted, and not resumed yet; input is kept until then
-	pausedErr     error         // the error of a close while paused
+	pausedErr     error         // why the connection ended while paused; conn is nil then. nil: it has not ended
 	// evictionMessage returns what is sent if the connection is evicted. It may be nil.
 	evictionMessage func() []byte
 	delivering      bool // closed, while its handler reads the input that arrived before
@@ -109,8 +109,8 @@
 	if len(k.inbuf) > 0 && !k.closed {
 		k.receive()
 	}
-	if k.pausedErr != nil {
-		k.onClose(k.pausedErr)
+	if k.pausedErr != nil && !k.closed {
+		k.finishClose(k.pausedErr)
 	}
 }
 
