settings: a class with an idempotency key needs its group and its window

Cause: config.optionalLater (keys.go) let group and window_us be missing whatever the semantics are, settings.CheckComplete (bounds.go) asked for neither, and settings.groups read an absent group as "all". A start took the file as well. Ruled out: the comparison with the former file alone, which knows only the keys that all classes share, and nothing at a start. Change: CheckComplete wants both keys of each class whose semantics are idempotency_key, at a start and at SIGHUP, and names the key. An absent group is read as the cell where completeness is not demanded. Tests: TestAClassWithAnIdempotencyKeyNeedsItsGroupAndWindow and TestAStartNeedsTheGroupOfAClassWithAnIdempotencyKey fail without the change. TestReloadNamesAMissingKey asserted the fault: it wanted no error for a file without the group of an idempotency_key class; it wants "settings.request_classes.1.group: missing" now, and the same of window_us. Settings of the tests got both keys.

--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -73,7 +73,8 @@
 		`,"points":1`:                      "settings.request_classes.1.points: missing",
 		`{"name":"kota","share":0.5},`:     "",
 		`,"message_aim_us":[250000,60000]`: "settings.extra.message_aim_us: missing",
-		`"group":"zone",`:                  "",
+		`"group":"zone",`:                  "settings.request_classes.1.group: missing",
+		`"window_us":5,`:                   "settings.request_classes.1.window_us: missing",
 	} {
 		require.Contains(t, runningConfig, removed)
 		_, err := reloadConfig(t, strings.Replace(runningConfig, removed, "", 1))
@@ -99,3 +100,12 @@
 	_, err = reloadConfig(t, strings.Replace(runningConfig, `"name":"d"`, `"name":"c"`, 1))
 	assert.ErrorContains(t, err, `settings.request_classes.1.name: "c" is used twice`)
 }
+
+// A node must not start either with a class whose repeats it cannot judge.
+func TestAStartNeedsTheGroupOfAClassWithAnIdempotencyKey(t *testing.T) {
+	for removed, want := range map[string]string{`"group":"zone",`: "settings.request_classes.1.group: missing",
+		`"window_us":5,`: "settings.request_classes.1.window_us: missing"} {
+		_, err := load(t, strings.Replace(runningConfig, removed, "", 1), map[string]string{"GW_DISCOVERY": "127.0.0.9:1"})
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/tidwall/gjson"
+
+	"lichenhitch/balance"
 )
 
 // KeyError describes a fault of one key of the settings.
@@ -34,7 +36,20 @@
 	key      string
 	min, max float64
 	unit     string
-	required func(root gjson.Result) bool // whether these settings require it; nil: always
+	required condition
+}
+
+// condition reports whether an object of the settings requires a key: the root, or for a key of a request class the class. nil:
+// always.
+type condition func(object gjson.Result) bool
+
+func (c condition) holds(object gjson.Result) bool { return c == nil || c(object) }
+
+// enum is a key with a fixed set of values.
+type enum struct {
+	key      string
+	values   []string
+	required condition
 }
 
 const (
@@ -42,6 +57,7 @@
 	minute       = 60 * second
 	microseconds = "microseconds"
 	longestTime  = 10 * minute
+	century      = 100 * 365 * 24 * 60 * minute
 )
 
 func isTrue(key string) func(gjson.Result) bool {
@@ -54,6 +70,12 @@
 
 func notRequired(gjson.Result) bool { return false }
 
+// repeatsAreDropped reports whether hosts drop repeats of a class's requests, as far as its group and its window go. Without
+// these two, nobody can tell which repeats are safe.
+func repeatsAreDropped(class gjson.Result) bool {
+	return effects[class.Get("semantics").Str] == balance.Keyed
+}
+
 var bounds = []bound{
 	{"balancers", 1, 100_000, "nodes", nil},
 	{"permissions.max_attempts", 1, 1000, "attempts", nil},
@@ -72,22 +94,22 @@
 	{"tariffs.peer", 0, 1000, "points per 256 bytes and first attempt", notRequired},
 }
 
-// classBounds are the bounds of the keys of each request class. Check checks the other keys of a class.
+// classBounds and classEnums are the keys of each request class. Check checks the other keys of a class.
 var classBounds = []bound{
 	{"points", 0, 1e9, "points per request or second of a connection", nil},
 	{"aim_us", 1, longestTime, microseconds, nil},
 	{"deadline_us", 1, longestTime, microseconds, nil},
+	{"window_us", 0, century, microseconds, repeatsAreDropped},
 }
 
+var classEnums = []enum{{"group", []string{"all", "zone", "cell"}, repeatsAreDropped}}
+
 // enums are the keys with a fixed set of values. An unrecognized value must not be taken for another one: the node would never
 // request its list of hosts, or would close connections that should outlive it.
-var enums = []struct {
-	key    string
-	values []string
-}{
-	{"registry_mode", []string{"ask", "push"}},
-	{"extra.mode", []string{"pass", "proxy"}},
-	{"weight_source", []string{"silent", "nominal", "rough", "live"}},
+var enums = []enum{
+	{"registry_mode", []string{"ask", "push"}, nil},
+	{"extra.mode", []string{"pass", "proxy"}, nil},
+	{"weight_source", []string{"silent", "nominal", "rough", "live"}, nil},
 }
 
 // CheckComplete checks that no required key is missing and no key is out of range, in an object that Decode accepts. The error
@@ -98,36 +120,46 @@
 func CheckRanges(raw []byte) error { return checkKeys(gjson.ParseBytes(raw), false) }
 
 func checkKeys(root gjson.Result, complete bool) error {
-	for _, w := range enums {
-		v := root.Get(w.key)
-		if want := "one of " + strings.Join(w.values, ", "); complete && !isSet(v) {
-			return &KeyError{w.key, "missing", want}
-		} else if isSet(v) && !slices.Contains(w.values, v.Str) {
-			return &KeyError{w.key, fmt.Sprintf("unknown value %.40q", v.String()), want}
+	for _, e := range enums {
+		if err := e.check(root, e.key, complete); err != nil {
+			return err
 		}
 	}
 	if err := checkZone(root, complete); err != nil {
 		return err
 	}
 	for _, b := range bounds {
-		if err := b.check(root, b.key, complete && (b.required == nil || b.required(root))); err != nil {
+		if err := b.check(root, b.key, complete && b.required.holds(root)); err != nil {
 			return err
 		}
 	}
-	for i := range root.Get("request_classes").Array() {
-		for _, b := range classBounds {
-			if err := b.check(root, key("request_classes", i, b.key), complete); err != nil {
-				return err
-			}
-		}
-		each := bound{max: longestTime, unit: microseconds} // a class may have no target: the value is absent or 0
-		if err := each.check(root, key("extra.message_aim_us", i, ""), false); err != nil {
+	for i, class := range root.Get("request_classes").Array() {
+		if err := checkClass(root, class, i, complete); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// checkClass checks the keys of the request class with index i.
+func checkClass(root, class gjson.Result, i int, complete bool) error {
+	for _, b := range classBounds {
+		if err := b.check(root, key("request_classes", i, b.key), complete && b.required.holds(class)); err != nil {
+			return err
+		}
+	}
+	for _, e := range classEnums {
+		if !e.required.holds(class) {
+			continue // Decode has refused unknown values
+		}
+		if err := e.check(root, key("request_classes", i, e.key), complete); err != nil {
+			return err
+		}
+	}
+	messageAim := bound{max: longestTime, unit: microseconds} // a class may have no target: the value is absent or 0
+	return messageAim.check(root, key("extra.message_aim_us", i, ""), false)
+}
+
 // checkZone checks that the node's zone is one of areas, if areas are given. Otherwise every host would be in another zone.
 func checkZone(root gjson.Result, complete bool) error {
 	own, areas := root.Get("my_zone"), root.Get("areas").Array()
@@ -143,6 +175,19 @@
 
 func isSet(v gjson.Result) bool { return v.Exists() && v.Type != gjson.Null }
 
+func (e enum) check(root gjson.Result, key string, required bool) error {
+	v := root.Get(key)
+	wanted := "one of " + strings.Join(e.values, ", ")
+	switch {
+	case !isSet(v) && !required:
+	case !isSet(v):
+		return &KeyError{key, "missing", wanted}
+	case !slices.Contains(e.values, v.Str):
+		return &KeyError{key, fmt.Sprintf("unknown value %.40q", v.String()), wanted}
+	}
+	return nil
+}
+
 func (b bound) check(root gjson.Result, key string, required bool) error {
 	v := root.Get(key)
 	format := func(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
--- a/internal/settings/bounds_test.go
+++ b/internal/settings/bounds_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lichenhitch/balance"
 )
 
 // The settings of two deployments, with all required keys.
@@ -16,13 +18,15 @@
 "safety":{"ask_within_us":10000000,"cold_from":0.37,"cold_us":8000000,"drain_grace_us":2000000,"overload_factor":3,
 "tip_after_us":1500000},"tariffs":{"cross_zone":0,"moves":0.022,"peer":0,"probe":0.0019},
 "extra":{"mode":"pass","message_aim_us":[250000]},
-"request_classes":[{"name":"c","semantics":"read_like","aim_us":300000,"deadline_us":1200000,"points":3}]}`
+"request_classes":[{"name":"c","semantics":"idempotency_key","group":"cell","window_us":5000000,"aim_us":300000,
+"deadline_us":1200000,"points":3}]}`
 	twoCentreSettings = `{"areas":["e","w"],"my_zone":"w","balancers":4,"registry_mode":"ask","weight_source":"nominal",
 "permissions":{"connect_timeout_us":250000,"max_attempts":3,"max_retry_after_us":1500000,"probes":true,"retry_after":false},
 "safety":{"ask_within_us":10000000,"cold_from":0.33,"cold_us":7100000,"drain_grace_us":3000000,"overload_factor":2.5,
 "tip_after_us":1500000},"tariffs":{"cross_zone":0.01,"moves":0.016,"peer":0.01,"probe":0.002},
 "extra":{"mode":"pass","message_aim_us":[100000]},
-"request_classes":[{"name":"c","semantics":"read_like","aim_us":500000,"deadline_us":2000000,"points":1}]}`
+"request_classes":[{"name":"c","semantics":"read_like","group":"all","window_us":5000000,"aim_us":500000,"deadline_us":2000000,
+"points":1}]}`
 )
 
 // replaced returns a JSON object with the value at a path replaced or removed.
@@ -105,3 +109,25 @@
 	}
 	assert.NoError(t, CheckComplete(replaced(t, buildingSettings, "tariffs.cross_zone", nil, true)), "there is only one zone")
 }
+
+// A file without the group of a class with an idempotency key was accepted, and the group read as that of all hosts: a request
+// ran in two cells. Which keys a class needs depends on its semantics.
+func TestAClassWithAnIdempotencyKeyNeedsItsGroupAndWindow(t *testing.T) {
+	const group, window = "request_classes.0.group", "request_classes.0.window_us"
+	for _, key := range []string{group, window} {
+		var e *KeyError
+		for name, raw := range map[string][]byte{"absent": replaced(t, buildingSettings, key, nil, true),
+			"null": replaced(t, buildingSettings, key, nil, false), "empty": replaced(t, buildingSettings, key, "", false)} {
+			require.ErrorAs(t, CheckComplete(raw), &e, "%s %s", key, name)
+			assert.Equal(t, key, e.Key, name)
+		}
+		for _, semantics := range []string{"read_like", "non_idempotent"} {
+			other := replaced(t, twoCentreSettings, "request_classes.0.semantics", semantics, false)
+			assert.NoError(t, CheckComplete(replaced(t, string(other), key, nil, true)), "%s without %s", semantics, key)
+		}
+	}
+	// Where completeness is not demanded, an absent group is the narrowest.
+	set, err := Decode(replaced(t, buildingSettings, group, nil, true))
+	require.NoError(t, err)
+	assert.Equal(t, balance.GroupCell, set.Classes[0].Group)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,8 +17,9 @@
 	"read_like": balance.Safe, "idempotency_key": balance.Keyed, "non_idempotent": balance.Unsafe,
 }
 
+// groups has the narrowest group for an absent key: a repeat must not reach a host that does not know its request.
 var groups = map[string]balance.Group{
-	"": balance.GroupAll, "all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell,
+	"": balance.GroupCell, "all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell,
 }
 
 // Decode reads the settings. It ignores unknown keys, leaves the fields of absent keys zero, and returns a *KeyError for an
@@ -154,10 +155,7 @@
 
 // micros reads a time in microseconds, which must not be negative and must be less than a century, to fit a time.Duration.
 func (in *reader) micros(path string) time.Duration {
-	const century = 100 * 365 * 24 * time.Hour
-	valid := func(v gjson.Result) bool {
-		return isNumber(v) && v.Num >= 0 && v.Num < float64(century/time.Microsecond)
-	}
+	valid := func(v gjson.Result) bool { return isNumber(v) && v.Num >= 0 && v.Num < century }
 	return time.Duration(in.get(path, valid, "a time in microseconds").Num) * time.Microsecond
 }
 
