evloop: what refused clients go on sending is discarded in limited rounds

What callers saw: beside clients that send much without the end of a line, others got their answers late or never. Cause: after LingeringClose, Conn.onTraffic (conn.go) discarded up to 64 MiB of each connection as it came, 64 KiB of each in each turn of the loop; nothing bounded the sum. Test: TestWhatLingeringPeersSendIsReadInLimitedRounds fails before ("524288 is not less than or equal to 131072"); TestRoundOfTheDrainerIsLimitedAndFair bounds a round. -race, 10 plays.

--- a/internal/evloop/close.go
+++ b/internal/evloop/close.go
@@ -14,8 +14,9 @@
 // which can destroy data that the peer has not read yet. Each method therefore states what happens to input and output.
 
 const (
-	// lingerTimeout and lingerMaxBytes limit the time and the bytes for which a peer may still send after LingeringClose.
-	// The peer may have 60 MB in transit, and a reset would destroy an answer that it has not read yet.
+	// lingerTimeout limits the time for which a peer may still send after LingeringClose, and lingerMaxBytes what it may send
+	// before it has read all output. The peer may have 60 MB in transit, and a reset would destroy an answer that it has not
+	// read yet.
 	lingerTimeout  = 3 * time.Second
 	lingerMaxBytes = 64 << 20
 	// flushPollInterval is how often LingeringClose checks whether the peer has taken all output.
@@ -69,12 +70,26 @@
 			k.lingerTimer = k.loop.After(min(left, flushPollInterval), checkFlushed)
 		default:
 			_ = unix.Shutdown(k.conn.Fd(), unix.SHUT_WR)
+			k.outputEnded = true
 			k.lingerTimer = k.loop.After(left, k.closeNow)
 		}
 	}
 	checkFlushed()
 }
 
+// discardLingering handles n bytes of input after LingeringClose. They are dropped; of a peer that sends many, the loop's drainer
+// reads the rest.
+func (k *Conn) discardLingering(n int) {
+	k.lingerDropped += n
+	switch {
+	case k.closed:
+	case k.outputEnded && k.lingerDropped > drainAfter:
+		k.loop.drainer.add(k)
+	case k.lingerDropped > lingerMaxBytes:
+		k.closeNow()
+	}
+}
+
 // Close closes the connection. Output is sent first: gnet's close writes what is queued once more.
 func (k *Conn) Close() {
 	if k != nil {
@@ -101,7 +116,10 @@
 	if k.dial != nil {
 		k.dial.cancel()
 	}
-	if k.conn != nil {
+	switch {
+	case k.draining:
+		_ = unix.Close(k.drainFD)
+	case k.conn != nil:
 		_ = k.loop.el.Close(k.conn)
 	}
 }
@@ -143,7 +161,7 @@
 
 // onClose handles gnet's OnClose, which gnet also calls for closes that this package requested.
 func (k *Conn) onClose(err error) {
-	if k.closed {
+	if k.closed || k.draining {
 		return
 	}
 	if err == nil {
--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -29,7 +29,7 @@
 // Conn is a connection on the loop, from its dial or its accept on.
 type Conn struct {
 	loop          *Loop
-	conn          gnet.Conn // nil until the connection is established, and after it ended while paused
+	conn          gnet.Conn // nil until the connection is established, after it ended while paused, and while draining
 	handler       Handler
 	accept        func(*Conn) Handler // set for accepted connections
 	dial          *pendingDial        // set while the connection is being established
@@ -39,7 +39,10 @@
 	noCallbacks   bool          // closed by its handler, which must not be called back any more
 	evictable     *list.Element // position in Loop.evictable
 	lingerTimer   *Timer        // set after LingeringClose
-	lingerDropped int           // bytes discarded after LingeringClose
+	lingerDropped int           // bytes discarded after LingeringClose, before draining
+	outputEnded   bool          // LingeringClose has sent all output and shut down the sending side
+	draining      bool          // taken over by the loop's drainer; conn is nil then
+	drainFD       int           // descriptor of the connection while draining
 	paused        bool          // adopted, and not resumed yet; input is kept until then
 	pausedErr     error         // why the connection ended while paused; conn is nil then. nil: it has not ended
 	// evictionMessage returns what is sent if the connection is evicted. It may be nil.
@@ -71,9 +74,7 @@
 func (k *Conn) onTraffic(c gnet.Conn) {
 	data, _ := c.Next(-1) // all of it: gnet's own inbound buffer stays empty
 	if k.lingerTimer != nil {
-		if k.lingerDropped += len(data); k.lingerDropped > lingerMaxBytes {
-			k.closeNow()
-		}
+		k.discardLingering(len(data))
 		return
 	}
 	if k.closed {
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -38,7 +38,8 @@
 	evictable list.List // connections that may be closed when there are too many, oldest first
 	// lingering counts the accepted connections in LingeringClose whose peers have not closed yet.
 	lingering     int
-	scratch       [readSize]byte // for Conn.readUnread
+	drainer       drainer
+	scratch       [readSize]byte // for Conn.readUnread and the drainer
 	callbackDepth int
 	deferred      []func() // run when the current callback returns
 }
@@ -54,6 +55,7 @@
 // accepts connections instead and enrols them in the client.
 func Start(log *slog.Logger, limits Limits) (*Loop, error) {
 	l := &Loop{log: log, start: time.Now(), limits: limits}
+	l.drainer.loop = l
 	var err error
 	if l.client, err = gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLogger{log}),
 		gnet.WithReadBufferCap(readSize), gnet.WithTCPNoDelay(gnet.TCPNoDelay)); err != nil {
@@ -137,6 +139,7 @@
 		l.log.Warn("stopping the event loop failed", "error", err)
 	}
 	l.dialer.stop()
+	l.drainer.closeAll()
 }
 
 // Do schedules f on the loop. It returns false if the loop has stopped.
