evloop: an eviction reads one connection at a time

On the loop: 50 evictable connections with 256 KiB unread each, and one eviction reads 13,107,200 bytes into memory before any handler runs. Cause: Loop.evictOldest (loop.go) called readUnread, up to 1 MiB, for each evictable connection, and put the handlers off.

--- a/internal/evloop/close.go
+++ b/internal/evloop/close.go
@@ -193,22 +193,38 @@
 	return errors.As(err, &call) && (call.Syscall == "write" || call.Syscall == "writev")
 }
 
-// readUnread reads the input that the kernel has buffered, bypassing gnet, and returns the number of bytes. They are kept
-// for the handler. A connection that ended while paused has none left.
-func (k *Conn) readUnread() int {
-	if k.conn == nil {
-		return 0
-	}
-	total := 0
-	for total < readUnreadMax {
+// readUnread reads the input that the kernel has buffered, bypassing gnet, and keeps it for the handler.
+func (k *Conn) readUnread() {
+	for total := 0; total < readUnreadMax; {
 		n, err := unix.Read(k.conn.Fd(), k.loop.scratch[:])
 		if n <= 0 || err != nil {
-			break
+			return
 		}
 		k.inbuf = append(k.inbuf, k.loop.scratch[:n]...)
 		total += n
 	}
-	return total
+}
+
+// hasUnread reports whether the kernel has buffered input, without reading it.
+func (k *Conn) hasUnread() bool {
+	if k.conn == nil {
+		return false
+	}
+	n, err := unix.IoctlGetInt(k.conn.Fd(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
+// receiveUnread passes input that the kernel has buffered to the handler, ahead of gnet, which reads what is left.
+func (k *Conn) receiveUnread() {
+	if k.closed || k.noCallbacks || k.conn == nil {
+		return
+	}
+	n, err := unix.Read(k.conn.Fd(), k.loop.scratch[:])
+	if n <= 0 || err != nil {
+		return
+	}
+	k.inbuf = append(k.inbuf, k.loop.scratch[:n]...)
+	k.receive()
 }
 
 // deliverUnread calls the handler for the input that arrived before the connection ended.
--- a/internal/evloop/close_test.go
+++ b/internal/evloop/close_test.go
@@ -106,6 +106,37 @@
 	assert.ErrorIs(t, <-h.closed, ErrTooManyConns)
 }
 
+// Where all connections that may be evicted had sent much, an eviction read up to 1 MiB of each into memory before any of their
+// handlers ran. It must only look whether there is input; each handler is then given its own, one after the other.
+func TestEvictionReadsOneConnAtATime(t *testing.T) {
+	const conns, sent = 50, 256 << 10
+	l := startLoop(t)
+	var handlers []*recorder
+	var peers []*net.TCPConn
+	for range conns {
+		h, c := accepted(t, l, func(k *Conn) { k.SetEvictable(true) })
+		handlers, peers = append(handlers, h), append(peers, c)
+	}
+	l.Call(func() { // the loop reads nothing while this runs
+		for i, c := range peers {
+			require.NoError(t, c.SetWriteBuffer(sent))
+			go c.Write(make([]byte, sent))
+			awaitUnread(t, handlers[i].conn, 32<<10)
+		}
+		assert.False(t, l.evictOldest(), "no connection is idle")
+		buffered := 0
+		for _, h := range handlers {
+			buffered += len(h.conn.inbuf)
+		}
+		assert.Zero(t, buffered, "bytes that were read before their handlers ran")
+	})
+	l.Call(func() {
+		for _, h := range handlers {
+			assert.NotEmpty(t, h.received)
+		}
+	})
+}
+
 // An evicted client gets the eviction message, since it may have sent a request just before.
 func TestEvictedConnGetsItsMessage(t *testing.T) {
 	l := startLoop(t)
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -198,16 +198,12 @@
 func (l *Loop) evictOldest() bool {
 	for range l.evictable.Len() {
 		k := l.evictable.Front().Value.(*Conn)
-		if k.lingerTimer != nil || k.readUnread() == 0 {
+		if k.lingerTimer != nil || !k.hasUnread() {
 			k.evict()
 			return true
 		}
 		l.evictable.MoveToBack(k.evictable)
-		l.Defer(func() {
-			if !k.closed {
-				k.receive()
-			}
-		})
+		l.Defer(k.receiveUnread)
 	}
 	return false
 }
