An id whose request may have run is refused when it comes again

Cause: clientconn.Conn.markEnded (conn.go) freed the id; nothing remembered that a host may have run the request. The sentences: WIRE 13 allows it for read_like only; PROTOCOL: "The id is new with every connection", so that a refusal hits nobody who keeps to it. BUSY is ruled out (a decline is as little admissible), and so is serving what a group and a window would allow (the node does not know the first host any more). Change: query.Request.MayHaveRun tells whether an attempt may have run; clientconn.usedIDs remembers 16,384 such ids of classes other than read_like. The latest 512 are in handover.State, told every 0.1 s to other processes and at a process's end; the last 128 stay locked until then. Requests with mid=1 or at= run nothing anew and are not refused. Which outcomes prove that nothing ran stood in balance and would have stood in query again: balance.Outcome.ProvesNeverRan. Tests: TestIDOfARequestThatMayHaveRunIsNotServedAgain fails before ("UP r1" where "ERR the id was used before" is wanted); TestUsedIDsAreKnownToTheOtherProcesses: while both run, after the old one's end, after a restart; units of usedIDs and the state.

--- a/balance/api.go
+++ b/balance/api.go
@@ -145,7 +145,7 @@
 // Outcome is the result of an attempt or a probe.
 type Outcome int
 
-// The outcomes. Full, Unreachable and Unsent prove that the request never ran.
+// The outcomes.
 const (
 	OK          Outcome = iota
 	Errored             // the server answered with an error
@@ -157,6 +157,9 @@
 	Unsent              // never sent
 )
 
+// ProvesNeverRan reports whether a request certainly did not run in an attempt that ended so.
+func (o Outcome) ProvesNeverRan() bool { return o == Full || o == Unreachable || o == Unsent }
+
 // Event is an input of a balancer.
 type Event interface{ event() }
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -746,12 +746,8 @@
 	b.recordChange(a.server, -r.weight)
 	b.onReport(a.server, e.Report)
 	b.recordOutcome(r, a, e.Outcome)
-	switch e.Outcome {
-	case Full, Unreachable, Unsent:
-	default:
-		if r.firstMayHaveRun < 0 || e.Attempt < r.firstMayHaveRun {
-			r.firstMayHaveRun = e.Attempt
-		}
+	if !e.Outcome.ProvesNeverRan() && (r.firstMayHaveRun < 0 || e.Attempt < r.firstMayHaveRun) {
+		r.firstMayHaveRun = e.Attempt
 	}
 	switch {
 	case e.Final || r.over:
--- a/cmd/lichenhitch/handover.go
+++ b/cmd/lichenhitch/handover.go
@@ -160,7 +160,7 @@
 		return
 	}
 	err := n.loop.Adopt(passed.Client, passed.ClientUnread, func(conn *evloop.Conn) evloop.Handler {
-		client = n.acceptor.Adopt(conn, passed.ID)
+		client = n.acceptor.Adopt(conn, passed.ID, passed.Arrival.Class)
 		return client
 	})
 	n.loop.Do(func() {
--- a/cmd/lichenhitch/main.go
+++ b/cmd/lichenhitch/main.go
@@ -136,6 +136,7 @@
 	controlSockets         int // descriptors that controlThread may hold
 	allControlSockets      int // the same for all control threads that have not ended, and as updateLimits applied it last
 	budgetedControlSockets int
+	publishedUsedIDs       int           // as counted by the acceptor when the shared state was last told
 	shutdownComplete       chan struct{} // closed when nothing is left to do but to stop
 }
 
@@ -227,9 +228,11 @@
 	if thread != nil {
 		thread.Stop()
 	}
+	var usedIDs []uint64
+	n.loop.Call(func() { usedIDs = n.acceptor.LatestUsedIDs(handover.MaxUsedIDs) })
 	n.loop.Stop()
 	if n.store != nil {
-		n.store.Leave()
+		n.store.LeaveAfter(func(st *handover.State) { st.AddUsedIDs(usedIDs) })
 	}
 }
 
--- a/cmd/lichenhitch/semantics_test.go
+++ b/cmd/lichenhitch/semantics_test.go
@@ -7,10 +7,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lichenhitch/internal/config"
 	"lichenhitch/internal/settings"
 )
 
@@ -88,3 +90,111 @@
 		})
 	}
 }
+
+// registryConfig returns the configuration of a node with registrySettings and one host.
+func registryConfig(t *testing.T, h *host) config.Config {
+	t.Helper()
+	cfg := testConfig(t, newDiscovery(t), list(1, true, targetsOf(h)...))
+	set, err := settings.Decode([]byte(registrySettings))
+	require.NoError(t, err)
+	cfg.Settings, cfg.RawSettings = set, []byte(registrySettings)
+	return cfg
+}
+
+// firstAnswer sends a request and returns its first answer.
+func firstAnswer(t *testing.T, addr, id, class, extra string) string {
+	t.Helper()
+	c := dialAt(t, addr)
+	defer c.Close()
+	c.send("OPEN " + id + " 7f3a c=" + class + ",t=harbour-office,d=5000" + extra)
+	return c.receive()
+}
+
+// leaveWhileWaiting sends a request that no host answers, and leaves once it has reached the host and the host has seen that.
+func leaveWhileWaiting(t *testing.T, addr string, gone <-chan struct{}, id, class string) {
+	t.Helper()
+	c := dialAt(t, addr)
+	c.send("OPEN " + id + " 7f3a c=" + class + ",t=harbour-office,d=5000,x=hang")
+	<-gone // the host has the line
+	require.NoError(t, c.Close())
+	<-gone // the attempt is given up
+}
+
+// newHangingHost returns a host that answers no request with x=hang, and sends to gone when it gets one and when that is
+// given up. It turns away what has x=busy.
+func newHangingHost(t *testing.T) (h *host, gone <-chan struct{}) {
+	events := make(chan struct{})
+	return newHost(t, "a", func(line string, c net.Conn, r *bufio.Reader) {
+		switch {
+		case strings.Contains(line, "x=hang"):
+			events <- struct{}{}
+			hang(line, c, r)
+			events <- struct{}{}
+		case strings.Contains(line, "x=busy"):
+			respond("BUSY\r\n")(c)
+		default:
+			echo(line, c, r)
+		}
+	}), events
+}
+
+const usedIDAnswer = "ERR the id was used before"
+
+// An id that came again after its client had left was served again, and its request ran twice. What must not run again is
+// refused, whether its client has left or was served; what may be repeated, or has not run, is not.
+func TestIDOfARequestThatMayHaveRunIsNotServedAgain(t *testing.T) {
+	const served = "UP r1"
+	h, gone := newHangingHost(t)
+	n := startConfig(t, registryConfig(t, h))
+	for _, class := range []string{"pay-fee", "book-cell", "book-any"} {
+		leaveWhileWaiting(t, n.addr, gone, class, class)
+		assert.Equal(t, usedIDAnswer, firstAnswer(t, n.addr, class, class, ""), class)
+		assert.Equal(t, usedIDAnswer, firstAnswer(t, n.addr, class, "read-berth", ""), "as another class")
+		assert.Equal(t, served, firstAnswer(t, n.addr, class, class, ",mid=1"), "it runs nothing anew")
+	}
+	leaveWhileWaiting(t, n.addr, gone, "r", "read-berth")
+	assert.Equal(t, served, firstAnswer(t, n.addr, "r", "read-berth", ""), "it may be repeated")
+	require.Contains(t, firstAnswer(t, n.addr, "b", "pay-fee", ",x=busy"), "BUSY")
+	assert.Equal(t, served, firstAnswer(t, n.addr, "b", "pay-fee", ""), "it has not run")
+	require.Equal(t, served, firstAnswer(t, n.addr, "s", "pay-fee", ""))
+	require.Eventually(t, func() (ended bool) {
+		n.loop.Call(func() { ended = n.core.Established() == 0 })
+		return ended
+	}, testTimeout, time.Millisecond)
+	assert.Equal(t, usedIDAnswer, firstAnswer(t, n.addr, "s", "pay-fee", ""), "it was served")
+}
+
+// The same at the other process of an upgrade, while both run, once the old one has ended, and after a plain restart.
+func TestUsedIDsAreKnownToTheOtherProcesses(t *testing.T) {
+	h, gone := newHangingHost(t)
+	cfg := registryConfig(t, h)
+	old := startConfig(t, cfg)
+	awaitReady(t, old)
+	leaveWhileWaiting(t, old.addr, gone, "early", "pay-fee")
+	cfg = successorConfig(old, cfg)
+	waiting := dial(t, old)
+	waiting.send("OPEN late 7f3a c=pay-fee,t=harbour-office,d=86400000,x=hang")
+	<-gone
+	next := startConfig(t, cfg)
+	awaitReady(t, next)
+	for callOperatorAPI(t, old.operatorAPI.Addr(), "GET /v1/readyz") == "200" {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, usedIDAnswer, firstAnswer(t, next.addr, "early", "pay-fee", ""))
+	require.NoError(t, waiting.Close()) // its client leaves after the new process has taken over
+	<-gone
+	assert.Contains(t, firstAnswer(t, next.addr, "late", "pay-fee", ""), "ERR the id ", "in use, or used")
+	old.stop()
+	require.Eventually(t, func() (known bool) {
+		next.loop.Call(func() { known = !next.sharedState.HasEarlier(next.processNumber) })
+		return known
+	}, testTimeout, time.Millisecond)
+	assert.Equal(t, usedIDAnswer, firstAnswer(t, next.addr, "late", "pay-fee", ""))
+
+	leaveWhileWaiting(t, next.addr, gone, "last", "pay-fee")
+	next.stop()
+	restarted := startConfig(t, cfg)
+	awaitReady(t, restarted)
+	assert.Equal(t, usedIDAnswer, firstAnswer(t, restarted.addr, "last", "pay-fee", ""))
+	assert.Equal(t, "UP r1", firstAnswer(t, restarted.addr, "new", "pay-fee", ""))
+}
--- a/cmd/lichenhitch/sharedstate.go
+++ b/cmd/lichenhitch/sharedstate.go
@@ -49,6 +49,7 @@
 		}
 	}
 	n.sharedState = st
+	n.acceptor.AddUsedIDs(st.UsedIDs)
 	if n.receiver != nil && !st.HasEarlier(n.processNumber) { // no process is left that could hand connections over
 		n.receiver.DrainAndClose()
 		n.receiver = nil
@@ -146,6 +147,7 @@
 func (n *node) publishPeriodically() {
 	if siblings, _ := n.sharedState.Others(n.processNumber); siblings > 0 {
 		n.publishOwnEntry()
+		n.publishUsedIDs()
 		n.loop.After(publishInterval, n.publishPeriodically)
 	}
 }
@@ -165,3 +167,12 @@
 	n.store.ChangeOwn(func(p *handover.Process) { p.Descriptors, p.LongestDeadline = descriptors, deadline },
 		func(handover.State, error) {})
 }
+
+// publishUsedIDs publishes the ids that have been used since the last call.
+func (n *node) publishUsedIDs() {
+	if added := n.acceptor.UsedIDCount(); added != n.publishedUsedIDs {
+		n.publishedUsedIDs = added
+		latest := n.acceptor.LatestUsedIDs(handover.MaxUsedIDs)
+		n.store.Change(func(st *handover.State) { st.AddUsedIDs(latest) }, func(handover.State, error) {})
+	}
+}
--- a/internal/clientconn/acceptor.go
+++ b/internal/clientconn/acceptor.go
@@ -35,6 +35,7 @@
 	retryAfter time.Duration   // when a client that is throttled because of too many connections may try again
 	maxConns   int
 	openIDs    openIDs
+	usedIDs    usedIDs
 	rejected   map[error]int // connections rejected since the last log line, by reason
 	logPending bool
 	serving    func() bool // whether the node accepts clients
@@ -98,11 +99,32 @@
 	}
 }
 
-// Adopt creates a Conn for a connection that another process of the node established under the given id. Resume
-// must follow.
-func (a *Acceptor) Adopt(conn *evloop.Conn, id string) *Conn {
+// Adopt creates a Conn for a connection that another process of the node established under the given id, for a
+// request of the given class. Resume must follow.
+func (a *Acceptor) Adopt(conn *evloop.Conn, id, class string) *Conn {
 	a.openIDs.adopt(id)
-	return &Conn{acceptor: a, conn: conn, open: line.Open{ID: id}, established: true}
+	return &Conn{acceptor: a, conn: conn, open: line.Open{ID: id}, established: true, runsOnce: a.runsOnce(class)}
+}
+
+// runsOnce reports whether a request of a class must not run again under its id. A class that the settings have no more
+// counts as one.
+func (a *Acceptor) runsOnce(class string) bool {
+	c, known := a.classes[class]
+	return !known || c.Effect != balance.Safe
+}
+
+// UsedIDCount returns how many ids have been used in all, those of other processes included.
+func (a *Acceptor) UsedIDCount() int { return a.usedIDs.added }
+
+// LatestUsedIDs returns the hashes of the latest ids, at most count, under which requests have come that may have run and
+// must not run again, oldest first.
+func (a *Acceptor) LatestUsedIDs(count int) []uint64 { return a.usedIDs.latest(count) }
+
+// AddUsedIDs adds ids that another process of the node has used.
+func (a *Acceptor) AddUsedIDs(hashes []uint64) {
+	for _, hash := range hashes {
+		a.usedIDs.add(hash)
+	}
 }
 
 // recordRejection counts a rejected connection. Rejections must stay cheap, since a client may reconnect at once
@@ -134,6 +156,11 @@
 		return errClass
 	case a.tenants != nil && o.Tenant != "" && !a.tenants[o.Tenant]:
 		return errTenant
+	case !continuesElsewhere(o) && a.usedIDs.contains(line.HashID(o.ID)):
+		return errIDUsed
 	}
 	return nil
 }
+
+// continuesElsewhere reports whether a request belongs to a connection that a host has already, so that it runs nothing anew.
+func continuesElsewhere(o line.Open) bool { return o.MidFlow || o.At != "" }
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -19,6 +19,7 @@
 	errClass        = errors.New("the class is unknown")
 	errTenant       = errors.New("the tenant is unknown")
 	errIDInUse      = errors.New("the id is in use")
+	errIDUsed       = errors.New("the id was used before")
 	errFull         = errors.New("the node holds as many connections as it may")
 )
 
@@ -31,6 +32,7 @@
 	awaitingElement *list.Element  // in Acceptor.awaiting, until a request has arrived
 	request         *query.Request // nil until the first line has arrived
 	established     bool
+	runsOnce        bool // the request must not run again under its id
 	ended           bool
 }
 
@@ -123,7 +125,7 @@
 	c.requestTimer.Stop()
 	c.stopAwaiting()
 	c.conn.SetEvictable(false)
-	c.open = open
+	c.open, c.runsOnce = open, c.acceptor.runsOnce(open.Class)
 	c.request = c.acceptor.core.Arrive(c, balance.Arrival{Class: open.Class, Tenant: open.Tenant, Key: open.Key,
 		Group: open.Group, Load: open.Load, MidFlow: open.MidFlow, Returning: open.Returning, Repeat: open.Retry},
 		open.At, open.Wait)
@@ -164,9 +166,15 @@
 	c.ended = true
 	c.requestTimer.Stop()
 	c.stopAwaiting()
-	if c.open.ID != "" {
+	if c.open.ID == "" {
+		return
+	}
+	if !c.runsOnce || c.request == nil || !c.request.MayHaveRun() {
 		c.acceptor.openIDs.release(c.open.ID)
+		return
 	}
+	c.acceptor.usedIDs.add(line.HashID(c.open.ID))
+	c.acceptor.openIDs.retire(c.open.ID)
 }
 
 // stopAwaiting removes the client from those that have not sent a request.
--- a/internal/clientconn/openids_test.go
+++ b/internal/clientconn/openids_test.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 
@@ -70,6 +71,17 @@
 			old.store.Leave()
 			assert.True(t, next.claim(id))
 		},
+		"it was used up": func(t *testing.T, old, next, _ *process) {
+			require.True(t, old.claim(id))
+			old.retire(id)
+			assert.False(t, next.claim(id))
+			for i := range maxRetiredIDs {
+				require.True(t, old.claim(fmt.Sprint(i)))
+				old.retire(fmt.Sprint(i))
+			}
+			assert.True(t, next.claim(id), "the shared state has told it meanwhile")
+			assert.False(t, next.claim("0"))
+		},
 		"the upgrade is aborted": func(t *testing.T, old, next, _ *process) {
 			require.True(t, old.claim(id))
 			next.adopt(id)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -68,6 +68,22 @@
 	assert.Equal(t, 9*time.Second, State{Draining: true}.DrainBegan(9*time.Second), "an earlier version")
 }
 
+// Used ids of all processes are kept once each, the latest of them. A process that leaves may add its last ones.
+func TestUsedIDsAreSharedUpToALimit(t *testing.T) {
+	dir := t.TempDir()
+	first, _, states := joinProcess(t, dir)
+	second, _, _ := joinProcess(t, dir)
+	changeState(t, first, func(st *State) { st.AddUsedIDs([]uint64{1, 2, 1 << 63}) })
+	second.LeaveAfter(func(st *State) { st.AddUsedIDs([]uint64{2, 3}) })
+	st := waitFor(states, func(st State) bool { return len(st.Processes) == 1 && len(st.UsedIDs) == 4 })
+	assert.Equal(t, []uint64{1, 2, 1 << 63, 3}, st.UsedIDs)
+	for id := range uint64(MaxUsedIDs) {
+		st.AddUsedIDs([]uint64{100 + id})
+	}
+	assert.Len(t, st.UsedIDs, MaxUsedIDs)
+	assert.Equal(t, uint64(100), st.UsedIDs[0])
+}
+
 func TestTwoProcessesShareOneState(t *testing.T) {
 	dir := t.TempDir()
 	first, st, firstStates := joinProcess(t, dir)
--- a/internal/handover/idlocks.go
+++ b/internal/handover/idlocks.go
@@ -2,10 +2,11 @@
 
 import (
 	"errors"
-	"hash/fnv"
 	"log/slog"
 
 	"golang.org/x/sys/unix"
+
+	"lichenhitch/internal/line"
 )
 
 const (
@@ -66,9 +67,5 @@
 	}
 }
 
-// idByte returns the offset of an id in the lock file. All versions must agree on it.
-func idByte(id string) int {
-	hash := fnv.New64a()
-	hash.Write([]byte(id))
-	return firstIDByte + int(hash.Sum64()>>(64-idHashBits))
-}
+// idByte returns the offset of an id in the lock file.
+func idByte(id string) int { return firstIDByte + int(line.HashID(id)>>(64-idHashBits)) }
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -22,6 +22,27 @@
 	// DrainingSince is the time of the call that began the drain. 0: not known, as from an earlier version, or no drain.
 	DrainingSince time.Duration `json:",omitempty"`
 	Processes     []Process     // in the order of their starts, without those that have exited
+	// UsedIDs are hashes of the latest ids under which requests have come that must not run again, oldest first. None: not
+	// known, as from an earlier version.
+	UsedIDs []uint64 `json:",omitempty"`
+}
+
+// MaxUsedIDs is how many used ids are shared, some 10 KB of the file: those of the last seconds.
+const MaxUsedIDs = 512
+
+// AddUsedIDs adds ids that are not in the state yet. The oldest are dropped if there are too many.
+func (s *State) AddUsedIDs(hashes []uint64) {
+	known := make(map[uint64]bool, len(s.UsedIDs))
+	for _, hash := range s.UsedIDs {
+		known[hash] = true
+	}
+	for _, hash := range hashes {
+		if !known[hash] {
+			known[hash] = true
+			s.UsedIDs = append(s.UsedIDs, hash)
+		}
+	}
+	s.UsedIDs = s.UsedIDs[max(len(s.UsedIDs)-MaxUsedIDs, 0):]
 }
 
 // Drain records that an operator drains the node. A drain that goes on keeps the time of its begin.
@@ -116,6 +137,7 @@
 		s.Bans = map[string]time.Duration{}
 	}
 	s.Processes = slices.Clone(s.Processes)
+	s.UsedIDs = slices.Clone(s.UsedIDs)
 	return s
 }
 
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -54,6 +54,7 @@
 	once     sync.Once
 	watching bool
 
+	lastChange func(*State) // set before stop is closed
 	// The fields below are used only by the store's goroutine once Watch has started it.
 	last     State
 	lastInfo fs.FileInfo // of the state file when it was last read or written
@@ -124,8 +125,12 @@
 }
 
 // Leave removes this process from the file and stops the store's goroutine.
-func (s *Store) Leave() {
+func (s *Store) Leave() { s.LeaveAfter(func(*State) {}) }
+
+// LeaveAfter is like Leave, and applies a last change of the state.
+func (s *Store) LeaveAfter(last func(*State)) {
 	s.once.Do(func() {
+		s.lastChange = last
 		if close(s.stop); s.watching {
 			<-s.stopped
 		} else {
@@ -143,6 +148,7 @@
 		select {
 		case <-s.stop:
 			_ = s.update(func(st *State) error {
+				s.lastChange(st)
 				st.Processes = slices.DeleteFunc(st.Processes, func(p Process) bool { return p.Number == s.number })
 				return nil
 			})
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"strconv"
 	"time"
@@ -149,6 +150,13 @@
 	return nil
 }
 
+// HashID returns a hash of an id, which identifies the id in all processes of a node. All versions must agree on it.
+func HashID(id string) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(id))
+	return hash.Sum64()
+}
+
 // Append appends the line as it is sent to a host: d gives the time that is left, and every other byte is the client's.
 func (o *Open) Append(to []byte, left time.Duration) []byte {
 	if o.waitEnd == 0 {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -274,6 +274,7 @@
 	if conn.Silence.Host > 0 {
 		c.lastReceived[r.server] = max(c.lastReceived[r.server], now-conn.Silence.Host)
 	}
+	r.sent = true
 	c.requests[r.arrival.Request] = r
 	attach(AttemptRef{r, 1})
 	r.step(lifecycle.Event{Kind: lifecycle.Adopt}, &eventData{})
@@ -465,6 +466,8 @@
 	attemptStart  time.Duration
 	sendBy        time.Duration // the latest time to send the current attempt; 0: unlimited
 	responseWatch lifecycle.ResponseWatch
+	mayHaveRun    bool // an earlier attempt may have run
+	sent          bool // the first line of the current attempt may have reached its host
 	deadlineTimer Timer
 	attemptTimer  Timer // the time-out of the attempt, or the pause before the next attempt
 }
@@ -510,6 +513,15 @@
 // State returns the state of the request.
 func (r *Request) State() lifecycle.State { return r.state }
 
+// MayHaveRun reports whether a host may have run the request, or may be running it.
+func (r *Request) MayHaveRun() bool { return r.mayHaveRun || r.sent }
+
+// attemptEnded records whether the attempt that has ended may have run.
+func (r *Request) attemptEnded(outcome balance.Outcome) {
+	r.mayHaveRun = r.mayHaveRun || r.sent && !outcome.ProvesNeverRan()
+	r.sent = false
+}
+
 // step applies an event to the state machine and carries out the effects. The balancer is notified last, since it
 // may respond with a further event of the same request.
 func (r *Request) step(e lifecycle.Event, data *eventData) {
@@ -588,6 +600,7 @@
 	case lifecycle.NotifyDeparted:
 		c.feed(balance.Departed{Request: id})
 	case lifecycle.NotifyEnded, lifecycle.NotifyOver:
+		r.attemptEnded(data.outcome)
 		c.feed(balance.Ended{Request: id, Attempt: r.attemptNumber(), Outcome: data.outcome, Took: c.clock.Now() - r.attemptStart,
 			Final: effect == lifecycle.NotifyOver, Report: data.report})
 	}
@@ -661,6 +674,7 @@
 		ref.step(lifecycle.HostDrainExpired, &eventData{outcome: balance.Unsent})
 		return false
 	}
+	ref.request.sent = true
 	return true
 }
 
