--- a/internal/clientconn/acceptor.go
+++ b/internal/clientconn/acceptor.go
@@ -144,6 +144,7 @@
 		for reason, n := range a.rejected {
 			a.log.Warn("connections were turned away", "reason", reason, "count", n)
 		}
+		a.log.Info("accepted connections waited for the event loop", "longest", a.loop.TakeLongestWait())
 		clear(a.rejected)
 		a.logPending = false
 	})
--- a/internal/evloop/evloop_test.go
+++ b/internal/evloop/evloop_test.go
@@ -252,3 +252,26 @@
 	assert.Equal(t, "here", string(got))
 	assert.Equal(t, 1, calls)
 }
+
+// An operator can tell a loop that is busy from a delay elsewhere.
+func TestLongestWaitForTheLoopIsRecorded(t *testing.T) {
+	const held = 30 * time.Millisecond
+	l := startLoop(t)
+	entered, release := make(chan bool), make(chan bool)
+	ln, err := l.Listen("127.0.0.1:0", func(*Conn) Handler {
+		entered <- true
+		<-release
+		return newRecorder()
+	})
+	require.NoError(t, err)
+	defer ln.Close()
+	l.TakeLongestWait()
+	c, err := net.Dial("tcp", ln.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	<-entered
+	time.Sleep(held)
+	release <- true
+	require.Eventually(t, func() bool { return l.TakeLongestWait() >= held }, 10*time.Second, time.Millisecond)
+	assert.Zero(t, l.TakeLongestWait())
+}
--- a/internal/evloop/listen.go
+++ b/internal/evloop/listen.go
@@ -140,9 +140,11 @@
 	}
 }
 
-// enroll passes a connection to the loop.
+// enroll passes a connection to the loop and waits until the loop has it.
 func (n *Listener) enroll(conn net.Conn) error {
+	began := time.Now()
 	_, err := n.loop.client.EnrollContext(conn, &Conn{loop: n.loop, accept: n.accept})
+	n.loop.recordWait(time.Since(began))
 	return err
 }
 
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -40,6 +41,7 @@
 	lingering     int
 	drainer       drainer
 	scratch       [readSize]byte // for Conn.readUnread and the drainer
+	longestWait   atomic.Int64   // of accepted connections for the loop since TakeLongestWait, in nanoseconds
 	callbackDepth int
 	deferred      []func() // run when the current callback returns
 }
@@ -208,6 +210,19 @@
 	return false
 }
 
+// recordWait records how long an accepted connection has waited for the loop. It may be called from any goroutine.
+func (l *Loop) recordWait(wait time.Duration) {
+	for longest := l.longestWait.Load(); int64(wait) > longest; longest = l.longestWait.Load() {
+		if l.longestWait.CompareAndSwap(longest, int64(wait)) {
+			return
+		}
+	}
+}
+
+// TakeLongestWait returns the longest time that a connection has waited for the loop after it was accepted, since the last call.
+// Clients that wait for much longer wait for something else: the kernel, or the machine.
+func (l *Loop) TakeLongestWait() time.Duration { return time.Duration(l.longestWait.Swap(0)) }
+
 // Lingering returns the number of accepted connections in LingeringClose whose peers have not closed yet. A process that
 // exits now would reset those whose peers still send.
 func (l *Loop) Lingering() int { return l.lingering }
--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -65,15 +65,20 @@
 	return nil
 }
 
+// machineUptime returns how long the machine has been running, or the longest time if that is not known.
+func machineUptime() time.Duration {
+	now, err := boottime.Now()
+	if err != nil {
+		return math.MaxInt64
+	}
+	return now.At
+}
+
 // checked returns the silence of a connection that was received, or nil if it cannot be true.
-func (s *Store) checked(silence *Silence) *Silence {
+func (s *Store) checked(silence *Silence, uptime time.Duration) *Silence {
 	if silence == nil {
 		return nil
 	}
-	uptime := time.Duration(math.MaxInt64)
-	if now, err := boottime.Now(); err == nil {
-		uptime = now.At
-	}
 	if err := silence.check(uptime); err != nil {
 		s.log.Warn("how long a connection was silent is not known", "error", err)
 		return nil
@@ -169,6 +174,7 @@
 
 func (s *Store) receive(conn *net.UnixConn, take func(Passed)) {
 	defer conn.Close()
+	uptime := machineUptime() // reading it for each connection would take longer than receiving one
 	head, control := make([]byte, maxPacket), make([]byte, unix.CmsgSpace(2*4))
 	for {
 		n, controlLen, _, _, err := conn.ReadMsgUnix(head, control)
@@ -180,7 +186,7 @@
 			s.log.Warn("could not receive a connection that was handed over", "error", err)
 			continue
 		}
-		p.Silence = s.checked(p.Silence)
+		p.Silence = s.checked(p.Silence, uptime)
 		take(p)
 	}
 }
