evloop: lingering connections are in a file of their own; a test waits for what it asserts

Need: close.go had grown, and five fields of Conn were about lingering alone. TestUsedIDsAreKnownToTheOtherProcesses asked for "was used before" where a busy machine may still show "is in use": the lock of the old process, until the shared state has told the id. Change: linger.go with lingerState and Conn.isLingering. The test accepts either refusal until the id is told, and then wants "was used before" as it did. Nothing else changes.

--- a/cmd/lichenhitch/semantics_test.go
+++ b/cmd/lichenhitch/semantics_test.go
@@ -164,6 +164,16 @@
 	assert.Equal(t, usedIDAnswer, firstAnswer(t, n.addr, "s", "pay-fee", ""), "it was served")
 }
 
+// awaitUsedIDs waits until a process knows of that many used ids.
+func awaitUsedIDs(t *testing.T, n *node, want int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		var known int
+		n.loop.Call(func() { known = n.acceptor.UsedIDCount() })
+		return known == want
+	}, testTimeout, time.Millisecond)
+}
+
 // The same at the other process of an upgrade, while both run, once the old one has ended, and after a plain restart.
 func TestUsedIDsAreKnownToTheOtherProcesses(t *testing.T) {
 	h, gone := newHangingHost(t)
@@ -180,15 +190,15 @@
 	for callOperatorAPI(t, old.operatorAPI.Addr(), "GET /v1/readyz") == "200" {
 		time.Sleep(time.Millisecond)
 	}
+	// Until the shared state has told them, the ids are locked by the old process.
+	assert.Contains(t, firstAnswer(t, next.addr, "early", "pay-fee", ""), "ERR the id ")
+	awaitUsedIDs(t, next, 1)
 	assert.Equal(t, usedIDAnswer, firstAnswer(t, next.addr, "early", "pay-fee", ""))
 	require.NoError(t, waiting.Close()) // its client leaves after the new process has taken over
 	<-gone
-	assert.Contains(t, firstAnswer(t, next.addr, "late", "pay-fee", ""), "ERR the id ", "in use, or used")
+	assert.Contains(t, firstAnswer(t, next.addr, "late", "pay-fee", ""), "ERR the id ")
 	old.stop()
-	require.Eventually(t, func() (known bool) {
-		next.loop.Call(func() { known = !next.sharedState.HasEarlier(next.processNumber) })
-		return known
-	}, testTimeout, time.Millisecond)
+	awaitUsedIDs(t, next, 2)
 	assert.Equal(t, usedIDAnswer, firstAnswer(t, next.addr, "late", "pay-fee", ""))
 
 	leaveWhileWaiting(t, next.addr, gone, "last", "pay-fee")
--- a/internal/evloop/close.go
+++ b/internal/evloop/close.go
@@ -5,24 +5,13 @@
 	"io"
 	"os"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// This file holds every way in which a connection ends. If a socket is closed with unread input, the kernel sends a reset,
+// This file and linger.go hold every way in which a connection ends. If a socket is closed with unread input, the kernel sends a reset,
 // which can destroy data that the peer has not read yet. Each method therefore states what happens to input and output.
 
-const (
-	// lingerTimeout limits the time for which a peer may still send after LingeringClose, and lingerMaxBytes what it may send
-	// before it has read all output. The peer may have 60 MB in transit, and a reset would destroy an answer that it has not
-	// read yet.
-	lingerTimeout  = 3 * time.Second
-	lingerMaxBytes = 64 << 20
-	// flushPollInterval is how often LingeringClose checks whether the peer has taken all output.
-	flushPollInterval = 20 * time.Millisecond
-)
-
 // Errors of connections that this process ends itself.
 var (
 	ErrNotReading   = errors.New("peer does not read")
@@ -44,52 +33,6 @@
 // request that the peer sent just before the close.
 func (k *Conn) SetEvictionMessage(message func() []byte) { k.evictionMessage = message }
 
-// LingeringClose shuts down the sending side once all output is sent, discards further input, and closes when the peer
-// closes or after lingerTimeout. Closing at once with unread input would send a reset, which can destroy the last output
-// before the peer has read it. The handler is not called back any more.
-func (k *Conn) LingeringClose() {
-	if k == nil || k.lingerTimer != nil {
-		return
-	}
-	if k.closed || k.conn == nil {
-		k.Close()
-		return
-	}
-	k.noCallbacks, k.inbuf, k.consumed = true, nil, 0
-	k.SetEvictable(true)
-	if k.accept != nil {
-		k.loop.lingering++
-	}
-	until := k.loop.Now() + lingerTimeout
-	var checkFlushed func()
-	checkFlushed = func() {
-		switch left := until - k.loop.Now(); {
-		case left <= 0:
-			k.closeNow()
-		case k.conn.OutboundBuffered() > 0:
-			k.lingerTimer = k.loop.After(min(left, flushPollInterval), checkFlushed)
-		default:
-			_ = unix.Shutdown(k.conn.Fd(), unix.SHUT_WR)
-			k.outputEnded = true
-			k.lingerTimer = k.loop.After(left, k.closeNow)
-		}
-	}
-	checkFlushed()
-}
-
-// discardLingering handles n bytes of input after LingeringClose. They are dropped; of a peer that sends many, the loop's drainer
-// reads the rest.
-func (k *Conn) discardLingering(n int) {
-	k.lingerDropped += n
-	switch {
-	case k.closed:
-	case k.outputEnded && k.lingerDropped > drainAfter:
-		k.loop.drainer.add(k)
-	case k.lingerDropped > lingerMaxBytes:
-		k.closeNow()
-	}
-}
-
 // Close closes the connection. Output is sent first: gnet's close writes what is queued once more.
 func (k *Conn) Close() {
 	if k != nil {
@@ -117,8 +60,8 @@
 		k.dial.cancel()
 	}
 	switch {
-	case k.draining:
-		_ = unix.Close(k.drainFD)
+	case k.linger.draining:
+		_ = unix.Close(k.linger.fd)
 	case k.conn != nil:
 		_ = k.loop.el.Close(k.conn)
 	}
@@ -129,10 +72,10 @@
 	k.closed = true
 	k.loop.conns--
 	k.SetEvictable(false)
-	if k.lingerTimer != nil && k.accept != nil {
+	if k.isLingering() && k.accept != nil {
 		k.loop.lingering--
 	}
-	k.lingerTimer.Stop()
+	k.linger.timer.Stop()
 }
 
 // fail closes the connection and notifies its handler.
@@ -146,7 +89,7 @@
 
 // evict closes an evictable connection because there are too many.
 func (k *Conn) evict() {
-	if k.lingerTimer == nil && k.evictionMessage != nil {
+	if !k.isLingering() && k.evictionMessage != nil {
 		k.Write(k.evictionMessage())
 	}
 	k.fail(ErrTooManyConns)
@@ -161,13 +104,13 @@
 
 // onClose handles gnet's OnClose, which gnet also calls for closes that this package requested.
 func (k *Conn) onClose(err error) {
-	if k.closed || k.draining {
+	if k.closed || k.linger.draining {
 		return
 	}
 	if err == nil {
 		err = io.EOF
 	}
-	if isWriteError(err) && k.lingerTimer == nil {
+	if isWriteError(err) && !k.isLingering() {
 		k.readUnread()
 	}
 	if k.paused && !k.noCallbacks {
--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -28,23 +28,19 @@
 
 // Conn is a connection on the loop, from its dial or its accept on.
 type Conn struct {
-	loop          *Loop
-	conn          gnet.Conn // nil until the connection is established, after it ended while paused, and while draining
-	handler       Handler
-	accept        func(*Conn) Handler // set for accepted connections
-	dial          *pendingDial        // set while the connection is being established
-	inbuf         []byte              // received bytes; those before consumed were discarded by the handler
-	consumed      int
-	closed        bool
-	noCallbacks   bool          // closed by its handler, which must not be called back any more
-	evictable     *list.Element // position in Loop.evictable
-	lingerTimer   *Timer        // set after LingeringClose
-	lingerDropped int           // bytes discarded after LingeringClose, before draining
-	outputEnded   bool          // LingeringClose has sent all output and shut down the sending side
-	draining      bool          // taken over by the loop's drainer; conn is nil then
-	drainFD       int           // descriptor of the connection while draining
-	paused        bool          // adopted, and not resumed yet; input is kept until then
-	pausedErr     error         // why the connection ended while paused; conn is nil then. nil: it has not ended
+	loop        *Loop
+	conn        gnet.Conn // nil until the connection is established, after it ended while paused, and while draining
+	handler     Handler
+	accept      func(*Conn) Handler // set for accepted connections
+	dial        *pendingDial        // set while the connection is being established
+	inbuf       []byte              // received bytes; those before consumed were discarded by the handler
+	consumed    int
+	closed      bool
+	noCallbacks bool          // closed by its handler, which must not be called back any more
+	evictable   *list.Element // position in Loop.evictable
+	linger      lingerState
+	paused      bool  // adopted, and not resumed yet; input is kept until then
+	pausedErr   error // why the connection ended while paused; conn is nil then. nil: it has not ended
 	// evictionMessage returns what is sent if the connection is evicted. It may be nil.
 	evictionMessage func() []byte
 	delivering      bool // closed, while its handler reads the input that arrived before
@@ -73,7 +69,7 @@
 
 func (k *Conn) onTraffic(c gnet.Conn) {
 	data, _ := c.Next(-1) // all of it: gnet's own inbound buffer stays empty
-	if k.lingerTimer != nil {
+	if k.isLingering() {
 		k.discardLingering(len(data))
 		return
 	}
@@ -133,7 +129,7 @@
 // Write sends data, and queues what the peer does not take at once. It may end the connection with ErrNotReading, in
 // which case Closed is called.
 func (k *Conn) Write(data []byte) {
-	if k.closed || k.lingerTimer != nil || k.conn == nil || len(data) == 0 {
+	if k.closed || k.isLingering() || k.conn == nil || len(data) == 0 {
 		return
 	}
 	if _, err := k.conn.Write(data); err != nil {
@@ -162,5 +158,5 @@
 
 // Idle reports whether the connection is established, is not closing, and has no output queued.
 func (k *Conn) Idle() bool {
-	return !k.closed && k.lingerTimer == nil && k.conn != nil && k.conn.OutboundBuffered() == 0
+	return !k.closed && !k.isLingering() && k.conn != nil && k.conn.OutboundBuffered() == 0
 }
--- a/internal/evloop/drain.go
+++ b/internal/evloop/drain.go
@@ -36,11 +36,11 @@
 		return
 	}
 	conn := k.conn
-	k.conn, k.draining, k.drainFD = nil, true, fd
+	k.conn, k.linger.draining, k.linger.fd = nil, true, fd
 	_ = d.loop.el.Close(conn) // the duplicate descriptor keeps the connection open
-	left := min(k.lingerTimer.at-d.loop.Now(), drainTimeout)
-	k.lingerTimer.Stop()
-	k.lingerTimer = d.loop.After(left, k.closeNow)
+	left := min(k.linger.timer.at-d.loop.Now(), drainTimeout)
+	k.linger.timer.Stop()
+	k.linger.timer = d.loop.After(left, k.closeNow)
 	d.queue = append(d.queue, k)
 	d.schedule()
 }
@@ -62,7 +62,7 @@
 		if k.closed {
 			continue
 		}
-		n, err := d.discard(k.drainFD)
+		n, err := d.discard(k.linger.fd)
 		switch {
 		case n > 0:
 			d.queue = append(d.queue, k)
@@ -87,7 +87,7 @@
 func (d *drainer) closeAll() {
 	for _, k := range d.queue {
 		if !k.closed {
-			_ = unix.Close(k.drainFD)
+			_ = unix.Close(k.linger.fd)
 		}
 	}
 	d.queue = nil
--- a/internal/evloop/drain_test.go
+++ b/internal/evloop/drain_test.go
@@ -48,7 +48,7 @@
 	l.Call(func() {
 		assert.Len(t, conns(), peers)
 		for _, k := range conns() {
-			assert.LessOrEqual(t, k.lingerDropped, drainAfter+readSize, "read at once by the loop")
+			assert.LessOrEqual(t, k.linger.dropped, drainAfter+readSize, "read at once by the loop")
 		}
 	})
 	require.Eventually(t, func() (over bool) {
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -200,7 +200,7 @@
 func (l *Loop) evictOldest() bool {
 	for range l.evictable.Len() {
 		k := l.evictable.Front().Value.(*Conn)
-		if k.lingerTimer != nil || !k.hasUnread() {
+		if k.isLingering() || !k.hasUnread() {
 			k.evict()
 			return true
 		}
